--- /dev/null
+++ b/src/cairnloom/admission/limits.py
@@ -0,0 +1,50 @@
+"""A bound on each team's tokens a minute, shared out among the gateways."""
+
+import dataclasses
+
+MINUTE_SECONDS = 60.0
+LARGEST_TABLE = 8192
+
+
+@dataclasses.dataclass
+class _Bucket:
+    tokens: float
+    filled_at: float
+
+
+class TeamLimits:
+    """One bucket for each team that has a bound and is active."""
+
+    def __init__(self) -> None:
+        self._buckets: dict[str, _Bucket] = {}
+
+    def take(
+        self, team: str, tokens: float, per_minute: float, now: float
+    ) -> float:
+        """Take tokens; return 0, or the seconds until they would be there.
+
+        ``per_minute`` is this gateway's share of the team's bound. A request
+        larger than the whole share is let through when the bucket is full.
+        """
+        bucket = self._fill(team, per_minute, now)
+        needed = min(tokens, per_minute)
+        if bucket.tokens >= needed:
+            bucket.tokens -= tokens
+            return 0.0
+        missing = needed - bucket.tokens
+        return missing / per_minute * MINUTE_SECONDS
+
+    def _fill(self, team: str, per_minute: float, now: float) -> _Bucket:
+        bucket = self._buckets.get(team)
+        if bucket is None:
+            self._bound()
+            bucket = _Bucket(per_minute, now)
+            self._buckets[team] = bucket
+        gained = (now - bucket.filled_at) * per_minute / MINUTE_SECONDS
+        bucket.tokens = min(per_minute, bucket.tokens + gained)
+        bucket.filled_at = now
+        return bucket
+
+    def _bound(self) -> None:
+        if len(self._buckets) >= LARGEST_TABLE:
+            self._buckets.pop(next(iter(self._buckets)))
--- /dev/null
+++ b/src/cairnloom/coordination/membership.py
@@ -0,0 +1,165 @@
+"""Which other processes are there, from the platform's lagging list and from
+heartbeats that peers pass on.
+
+Every round a process exchanges a bounded part of its view with a few random
+peers. A member whose heartbeat does not move is suspected, then dropped.
+Membership is a hint for routing and exchange; authority never comes from it.
+"""
+
+import dataclasses
+from typing import Literal
+from typing import Protocol
+
+
+@dataclasses.dataclass(frozen=True)
+class MembershipSettings:
+    """What the view needs to know; times are in seconds."""
+
+    suspect_after: float = 2.0
+    drop_after: float = 5.0
+    fanout: int = 2
+    members_per_message: int = 32
+
+
+@dataclasses.dataclass(frozen=True)
+class Member:
+    """What one member last said of itself.
+
+    A higher incarnation, which is the start time of the process in
+    milliseconds, replaces an earlier start on the same host.
+    """
+
+    host: str
+    address: str
+    incarnation: int
+    heartbeat: int
+    state: Literal['live', 'leaving'] = 'live'
+
+
+class Chooser(Protocol):
+    """A source of random choices, such as ``random.Random``."""
+
+    def sample(self, population: list[str], k: int) -> list[str]:
+        """Choose k different items."""
+
+
+@dataclasses.dataclass
+class _Known:
+    member: Member
+    moved_at: float
+
+
+class View:
+    """One process's view of all members, itself among them."""
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        me: Member,
+        chooser: Chooser,
+        now: float,
+    ) -> None:
+        self._settings = settings
+        self._chooser = chooser
+        self._me = me.host
+        self._known = {me.host: _Known(me, now)}
+        self._listed: dict[str, str] = {}
+
+    def beat(self, now: float) -> None:
+        """Move the own heartbeat; call it once a round."""
+        mine = self.me
+        self._store(
+            dataclasses.replace(mine, heartbeat=mine.heartbeat + 1), now
+        )
+
+    def leave(self, now: float) -> None:
+        """Tell peers from the next round on that this process leaves."""
+        self._store(dataclasses.replace(self.me, state='leaving'), now)
+
+    def list_hosts(self, addresses: dict[str, str]) -> None:
+        """Take the platform's list: the address of each host."""
+        self._listed = dict(addresses)
+
+    def merge(self, members: list[Member], now: float) -> None:
+        """Take what a peer passed on."""
+        for member in members:
+            if member.host != self._me:
+                self._merge_one(member, now)
+
+    def peers(self, now: float) -> list[str]:
+        """Choose the addresses to exchange with in this round."""
+        reachable = self._addresses(now)
+        count = min(self._settings.fanout, len(reachable))
+        return self._chooser.sample(sorted(reachable), count)
+
+    def message(self) -> list[Member]:
+        """Choose the bounded part of the view to pass on."""
+        others = [host for host in self._known if host != self._me]
+        count = min(self._settings.members_per_message, len(others))
+        chosen = self._chooser.sample(sorted(others), count)
+        return [self.me] + [self._known[host].member for host in chosen]
+
+    def live(self, now: float) -> list[Member]:
+        """Return the members that are neither suspected nor leaving."""
+        bound = self._settings.suspect_after
+        return [
+            known.member
+            for host, known in sorted(self._known.items())
+            if known.member.state == 'live'
+            and (host == self._me or now - known.moved_at < bound)
+        ]
+
+    def is_present(self, host: str, incarnation: int, now: float) -> bool:
+        """Tell whether that start of a process still seems to run."""
+        known = self._known.get(host)
+        if known is None or known.member.incarnation != incarnation:
+            return False
+        if host == self._me:
+            return True
+        return now - known.moved_at < self._settings.drop_after
+
+    def size(self) -> int:
+        """Count the hosts that may exist, listed or heard of."""
+        return len(self._listed.keys() | self._known.keys())
+
+    def prune(self, now: float) -> None:
+        """Forget members that are silent and no longer listed."""
+        bound = self._settings.drop_after
+        for host, known in list(self._known.items()):
+            silent = now - known.moved_at >= bound
+            if host != self._me and silent and host not in self._listed:
+                del self._known[host]
+
+    @property
+    def me(self) -> Member:
+        """What this process says of itself."""
+        return self._known[self._me].member
+
+    def _addresses(self, now: float) -> set[str]:
+        found = {
+            address
+            for host, address in self._listed.items()
+            if host != self._me
+        }
+        for host, known in self._known.items():
+            if host != self._me and self._is_recent(known, now):
+                found.add(known.member.address)
+        return found
+
+    def _is_recent(self, known: _Known, now: float) -> bool:
+        return now - known.moved_at < self._settings.drop_after
+
+    def _merge_one(self, member: Member, now: float) -> None:
+        known = self._known.get(member.host)
+        if known is None:
+            self._store(member, now)
+            return
+        old = known.member
+        if (member.incarnation, member.heartbeat) > (
+            old.incarnation,
+            old.heartbeat,
+        ):
+            self._store(member, now)
+
+    def _store(self, member: Member, now: float) -> None:
+        self._known[member.host] = _Known(member, now)
--- /dev/null
+++ b/src/cairnloom/coordination/usage.py
@@ -0,0 +1,371 @@
+"""Usage windows: who used what, written so that nothing counts twice.
+
+Each gateway adds up its part of a window and writes it under a check that
+the window is still open. Sealing creates the window's row, so every later
+write of a part fails as a whole; what it held moves into a later window. The
+sealed figures are written once, and only those are ever reported.
+"""
+
+import dataclasses
+from typing import Literal
+
+from ..protocol import codec
+
+from . import actions
+from . import events
+from . import leases
+from . import rows
+
+
+@dataclasses.dataclass(frozen=True)
+class Figures:
+    """What one team used in one window, in tokens and requests."""
+
+    prefill_tokens: int = 0
+    decode_tokens: int = 0
+    requests: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """The figures of one window, as they are sent to the platform."""
+
+    window: int
+    fence: int
+    teams: dict[str, Figures]
+
+
+@dataclasses.dataclass(frozen=True)
+class PartRow:
+    """One contributor's figures of one window, by team."""
+
+    teams: dict[str, Figures]
+
+
+@dataclasses.dataclass(frozen=True)
+class WindowRow:
+    """A window that has been sealed."""
+
+    state: Literal['sealed', 'final', 'reported']
+    fence: int
+    teams: dict[str, Figures] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class SendReport:
+    """Send these figures; they stand in the table already."""
+
+    report: Report
+
+
+@dataclasses.dataclass(frozen=True)
+class Reported:
+    """The intake took the report of a window."""
+
+    window: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Seal:
+    """Begin, or go on with, the report of a window."""
+
+    window: int
+
+
+def window_key(window: int) -> str:
+    """Name the row whose existence closes a window."""
+    return 'usage/windows/%012d' % window
+
+
+def part_prefix(window: int) -> str:
+    """Return what the keys of a window's parts start with."""
+    return 'usage/parts/%012d/' % window
+
+
+def part_key(window: int, contributor: str) -> str:
+    """Name the row of one contributor's part."""
+    return part_prefix(window) + contributor
+
+
+def add(left: Figures, right: Figures) -> Figures:
+    """Add two figures."""
+    return Figures(
+        left.prefill_tokens + right.prefill_tokens,
+        left.decode_tokens + right.decode_tokens,
+        left.requests + right.requests,
+    )
+
+
+def merge(into: dict[str, Figures], more: dict[str, Figures]) -> None:
+    """Add figures by team to a table of them."""
+    for team, figures in more.items():
+        into[team] = add(into.get(team, Figures()), figures)
+
+
+@dataclasses.dataclass
+class _Part:
+    """A part that is being filled or written."""
+
+    figures: dict[str, Figures]
+    row: rows.Row
+    dirty: bool = False
+    write_ids: set[str] = dataclasses.field(default_factory=set)
+    written: dict[str, Figures] = dataclasses.field(default_factory=dict)
+
+
+class UsageBook:
+    """A gateway's part of each open window.
+
+    One write is under way at a time. ``contributor`` is new for every start
+    of a process, so that a restarted gateway never meets its former part.
+    """
+
+    def __init__(self, contributor: str) -> None:
+        self._contributor = contributor
+        self._parts: dict[int, _Part] = {}
+        self._closed = -1
+        self._writing: int | None = None
+        self._write_id = ''
+        self._window_closed = False
+        self._in_write: dict[str, Figures] = {}
+        self._writes = 0
+
+    def record(self, team: str, figures: Figures, window: int) -> None:
+        """Add what a team used, in the window of now or a later one."""
+        window = max(window, self._closed + 1)
+        part = self._part(window)
+        merge(part.figures, {team: figures})
+        part.dirty = True
+
+    def flush(self) -> list[actions.TableAction]:
+        """Write the oldest part that has changed."""
+        if self._writing is not None:
+            return []
+        for window in sorted(self._parts):
+            if self._parts[window].dirty:
+                return [self._write(window)]
+        return []
+
+    def step(self, event: events.TableEvent) -> list[actions.TableAction]:
+        """Take the outcome of a table call."""
+        match event:
+            case events.CommitDone(write_id=write_id, versions=versions):
+                return self._take_commit(write_id, versions)
+            case events.CommitConflict(write_id=write_id):
+                return self._reread(write_id)
+            case events.CommitUnknown(write_id=write_id):
+                return self._reread(write_id)
+            case events.CommitFailed(write_id=write_id):
+                return self._take_failure(write_id)
+            case events.ReadDone(row=row):
+                return self._take_row(row)
+            case events.ReadFailed(key=key):
+                return self._take_no_row(key)
+            case _:
+                return []
+
+    def unwritten(self) -> int:
+        """Count the windows whose newest figures are not in the table."""
+        return sum(1 for part in self._parts.values() if part.dirty)
+
+    def forget(self, before: int) -> None:
+        """Drop written parts of windows that ended long ago."""
+        for window, part in list(self._parts.items()):
+            if window < before and not part.dirty:
+                if window != self._writing:
+                    del self._parts[window]
+
+    def _part(self, window: int) -> _Part:
+        part = self._parts.get(window)
+        if part is None:
+            key = part_key(window, self._contributor)
+            part = _Part({}, rows.Row(key))
+            self._parts[window] = part
+        return part
+
+    def _write(self, window: int) -> actions.Commit:
+        part = self._parts[window]
+        self._writes += 1
+        self._write_id = '%s/u%d' % (self._contributor, self._writes)
+        self._writing = window
+        self._in_write = dict(part.figures)
+        part.dirty = False
+        part.write_ids.add(self._write_id)
+        value = codec.encode_value(PartRow(self._in_write))
+        write = rows.Write(part.row.key, value, part.row.version)
+        still_open = rows.Check(window_key(window), rows.ABSENT)
+        return actions.Commit(
+            rows.Transaction(self._write_id, [write], [still_open])
+        )
+
+    def _take_commit(
+        self, write_id: str, versions: dict[str, int]
+    ) -> list[actions.TableAction]:
+        if write_id != self._write_id or self._writing is None:
+            return []
+        part = self._parts[self._writing]
+        version = versions[part.row.key]
+        part.row = rows.Row(part.row.key, version, None, write_id)
+        part.written = self._in_write
+        self._writing = None
+        return []
+
+    def _take_failure(self, write_id: str) -> list[actions.TableAction]:
+        if write_id == self._write_id and self._writing is not None:
+            self._parts[self._writing].dirty = True
+            self._writing = None
+        return []
+
+    def _reread(self, write_id: str) -> list[actions.TableAction]:
+        if write_id != self._write_id or self._writing is None:
+            return []
+        return [actions.Read(window_key(self._writing))]
+
+    def _take_row(self, row: rows.Row) -> list[actions.TableAction]:
+        window = self._writing
+        if window is None:
+            return []
+        part = self._parts[window]
+        if row.key == window_key(window):
+            # The window's row is read first: once it exists the part can't
+            # change any more, so what is read of the part after it is final.
+            self._window_closed = row.version != rows.ABSENT
+            return [actions.Read(part.row.key)]
+        if row.key == part.row.key:
+            self._take_part(window, row)
+        return []
+
+    def _take_no_row(self, key: str) -> list[actions.TableAction]:
+        window = self._writing
+        if window is None:
+            return []
+        if key in (window_key(window), self._parts[window].row.key):
+            return [actions.Read(window_key(window))]
+        return []
+
+    def _take_part(self, window: int, row: rows.Row) -> None:
+        part = self._parts[window]
+        self._writing = None
+        if row.write_id in part.write_ids and row.value is not None:
+            part.written = codec.decode_value(PartRow, row.value).teams
+        part.row = row
+        part.dirty = part.written != part.figures
+        if self._window_closed:
+            self._move_rest(window, part)
+
+    def _move_rest(self, window: int, part: _Part) -> None:
+        rest = _subtract(part.figures, part.written)
+        part.figures = dict(part.written)
+        part.dirty = False
+        self._closed = max(self._closed, window)
+        for team, figures in rest.items():
+            self.record(team, figures, self._closed + 1)
+
+
+def _subtract(
+    whole: dict[str, Figures], part: dict[str, Figures]
+) -> dict[str, Figures]:
+    rest: dict[str, Figures] = {}
+    for team, figures in whole.items():
+        taken = part.get(team, Figures())
+        left = Figures(
+            figures.prefill_tokens - taken.prefill_tokens,
+            figures.decode_tokens - taken.decode_tokens,
+            figures.requests - taken.requests,
+        )
+        if left != Figures():
+            rest[team] = left
+    return rest
+
+
+class WindowSealer:
+    """The reporter's side of one window: seal, add up, report.
+
+    Each step follows from the window's row, so a successor goes on where
+    the former holder of the lease stopped.
+    """
+
+    def __init__(self, owner: str, window: int) -> None:
+        self.window = window
+        self.done = False
+        self._owner = owner
+        self._row = rows.Row(window_key(window))
+        self._writes = 0
+
+    def start(self) -> list[actions.TableAction]:
+        """Look where this window stands."""
+        return [actions.Read(window_key(self.window))]
+
+    def step(
+        self,
+        event: events.TableEvent | Reported,
+        authority: leases.Authority | None,
+    ) -> list[actions.TableAction | SendReport]:
+        """Take one event under the authority held now, if any."""
+        if authority is None:
+            return []
+        match event:
+            case events.ReadDone(row=row):
+                self._row = row
+                return self._go_on(authority)
+            case events.CommitDone():
+                return [actions.Read(window_key(self.window))]
+            case events.CommitConflict() | events.CommitUnknown():
+                return [actions.Read(window_key(self.window))]
+            case events.ScanDone(rows=parts):
+                return [self._write_figures(parts, authority)]
+            case Reported():
+                return [self._write_reported(authority)]
+            case _:
+                return []
+
+    def _go_on(
+        self, authority: leases.Authority
+    ) -> list[actions.TableAction | SendReport]:
+        if self._row.version == rows.ABSENT:
+            return [
+                self._write(WindowRow('sealed', authority.fence), authority)
+            ]
+        value = self._value()
+        match value.state:
+            case 'sealed':
+                return [actions.Scan(part_prefix(self.window))]
+            case 'final':
+                return [self._report(value, authority)]
+            case 'reported':
+                self.done = True
+        return []
+
+    def _report(
+        self, value: WindowRow, authority: leases.Authority
+    ) -> SendReport:
+        return SendReport(Report(self.window, authority.fence, value.teams))
+
+    def _write_figures(
+        self, parts: list[rows.Row], authority: leases.Authority
+    ) -> actions.Commit:
+        teams: dict[str, Figures] = {}
+        for part in parts:
+            merge(teams, codec.decode_value(PartRow, part.value).teams)
+        return self._write(
+            WindowRow('final', authority.fence, teams), authority
+        )
+
+    def _write_reported(self, authority: leases.Authority) -> actions.Commit:
+        value = dataclasses.replace(self._value(), state='reported')
+        return self._write(value, authority)
+
+    def _value(self) -> WindowRow:
+        return codec.decode_value(WindowRow, self._row.value)
+
+    def _write(
+        self, value: WindowRow, authority: leases.Authority
+    ) -> actions.Commit:
+        self._writes += 1
+        write_id = '%s/w%d.%d' % (self._owner, self.window, self._writes)
+        write = rows.Write(
+            self._row.key, codec.encode_value(value), self._row.version
+        )
+        return actions.Commit(
+            rows.Transaction(write_id, [write], [authority.check])
+        )
--- /dev/null
+++ b/src/cairnloom/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to what the system routes to: model engines and plain services."""
--- /dev/null
+++ b/src/cairnloom/exceptions.py
@@ -0,0 +1,70 @@
+"""Errors of every layer, one base class each.
+
+A layer raises only errors under its own base and turns those of the layer
+below into its own, so a caller never has to know what lies two layers down.
+"""
+
+
+class CairnloomError(Exception):
+    """Base of every error this package raises."""
+
+
+class SettingsError(CairnloomError):
+    """A settings file that can't be used.
+
+    ``faults`` holds one line per fault, each starting with its path.
+    """
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__('; '.join(faults))
+        self.faults = faults
+
+
+class ProtocolError(CairnloomError):
+    """A message that does not have the shape its type asks for."""
+
+
+class TransportError(CairnloomError):
+    """An HTTP exchange that gave no whole reply.
+
+    ``sent`` is false only when no byte of the request left this process.
+    """
+
+    def __init__(self, reason: str, sent: bool) -> None:
+        super().__init__(reason)
+        self.sent = sent
+
+
+class PlatformError(CairnloomError):
+    """A platform service that failed or refused.
+
+    ``unknown`` is true when the call may have taken effect all the same.
+    """
+
+    def __init__(self, reason: str, unknown: bool = False) -> None:
+        super().__init__(reason)
+        self.unknown = unknown
+
+
+class EndpointError(CairnloomError):
+    """An endpoint that failed, refused or broke off.
+
+    ``ran`` is false only when the endpoint surely did not start the work.
+    """
+
+    def __init__(self, reason: str, ran: bool, status: int = 502) -> None:
+        super().__init__(reason)
+        self.ran = ran
+        self.status = status
+
+
+class CoordinationError(CairnloomError):
+    """A coordination part that was used outside its contract."""
+
+
+class ConfigurationError(CoordinationError):
+    """A change that the configuration can't take."""
+
+
+class OperatorError(CairnloomError):
+    """A command of the operator's program that could not be carried out."""
--- /dev/null
+++ b/src/cairnloom/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: callers' requests in, endpoints' answers out."""
--- /dev/null
+++ b/src/cairnloom/gateway/exchange.py
@@ -0,0 +1,228 @@
+"""The task that speaks with peers and keeps the configuration up to date."""
+
+import random
+from typing import Any
+from urllib import parse
+
+from twisted.internet import defer
+
+from .. import exceptions
+from ..coordination import actions
+from ..coordination import configuration
+from ..coordination import documents
+from ..coordination import events
+from ..coordination import freshness
+from ..protocol import codec
+from ..protocol import messages
+from ..protocol import server
+
+from . import front
+from . import state
+
+EXCHANGE_TIMEOUT_SECONDS = 1.0
+HOSTS_PER_POLL = 5
+
+
+class Exchange:
+    """Own the view of members and the replica of the configuration."""
+
+    def __init__(
+        self, shared: state.GatewayState, served: front.Front
+    ) -> None:
+        self._state = shared
+        self._front = served
+        self._host_list_rounds = 0
+
+    def handlers(self) -> dict[str, server.Handler]:
+        """Return what peers call."""
+        return {
+            '/peer/exchange': self._answer_exchange,
+            '/peer/deltas': self._answer_deltas,
+        }
+
+    async def poll(self) -> None:
+        """Read the head of the configuration from the table.
+
+        The share of rounds that read falls with the number of hosts, so that
+        the table's load does not grow with them; peers pass on the rest.
+        """
+        hosts = max(1, self._state.hosts())
+        if hosts > HOSTS_PER_POLL and self._is_fresh_enough():
+            if random.random() > HOSTS_PER_POLL / hosts:
+                return
+        await self.read_head()
+
+    async def read_head(self) -> None:
+        """Read the head and catch up with it."""
+        event = await self._state.runner.perform(
+            actions.Read(configuration.HEAD_KEY)
+        )
+        if not isinstance(event, events.ReadDone):
+            self._state.metrics.count('table_failed')
+            return
+        await self._catch_up(event)
+        head = configuration.read_head(event.row)
+        self._state.freshness.note_table_read(
+            event.sent_at, head.version, self._state.replica.version
+        )
+
+    async def round(self) -> None:
+        """Exchange with a few random peers."""
+        await self._read_hosts()
+        members = self._state.members
+        assert members is not None
+        now = self._state.now()
+        members.beat(now)
+        members.prune(now)
+        addresses = members.peers(now)
+        if not self._is_fresh_enough():
+            addresses = members.peers(now) + addresses
+        await self._all(
+            [self._exchange_with(address) for address in set(addresses)]
+        )
+
+    async def push(self, delta: configuration.Delta) -> int:
+        """Pass a new version to all live members; count who holds it."""
+        members = self._state.members
+        assert members is not None
+        others = [
+            member.address
+            for member in members.live(self._state.now())
+            if member.host != self._state.settings.host
+        ]
+        body = codec.encode(configuration.Deltas([delta]))
+        results = await self._all(
+            [self._push_to(address, body) for address in others]
+        )
+        return 1 + sum(1 for held in results if held >= delta.version)
+
+    def apply_pushed(self, deltas: list[configuration.Delta]) -> None:
+        """Take versions that were accepted or pushed."""
+        before = self._state.replica.version
+        self._state.replica.step(configuration.Pushed(deltas))
+        self._after_change(before)
+
+    def _is_fresh_enough(self) -> bool:
+        bound = self._state.settings.timing.freshness / 2
+        return self._state.freshness.age(self._state.now()) < bound
+
+    async def _catch_up(self, event: events.TableEvent) -> None:
+        before = self._state.replica.version
+        others = await self._state.runner.drive(
+            self._state.replica.step(event), self._state.replica.step
+        )
+        for action in others:
+            if isinstance(action, configuration.FetchSnapshot):
+                await self._fetch_snapshot(action.version)
+        self._after_change(before)
+
+    async def _fetch_snapshot(self, version: int) -> None:
+        name = configuration.snapshot_name(version)
+        try:
+            body = await self._state.objects.get(name)
+            snapshot = codec.decode(documents.Snapshot, body)
+        except (exceptions.PlatformError, exceptions.ProtocolError):
+            self._state.metrics.count('snapshot_failed')
+            return
+        await self._state.runner.drive(
+            self._state.replica.step(configuration.SnapshotRead(snapshot)),
+            self._state.replica.step,
+        )
+
+    def _after_change(self, before: int) -> None:
+        if self._state.replica.version == before:
+            return
+        keys = self._state.replica.document.keys
+        cut = self._front.lives.check_keys(keys)
+        if cut:
+            self._state.metrics.count('withdrawn_in_use', cut)
+
+    async def _read_hosts(self) -> None:
+        self._host_list_rounds += 1
+        if self._host_list_rounds % 4 != 1:
+            return
+        try:
+            listed = await self._state.host_list.fetch()
+        except exceptions.PlatformError:
+            return
+        assert self._state.members is not None
+        self._state.members.list_hosts(
+            {entry.host: entry.address for entry in listed.hosts}
+        )
+
+    async def _exchange_with(self, address: str) -> None:
+        sent_at = self._state.now()
+        body = codec.encode(self._state.exchange_message())
+        reply = await self._call('POST', address + '/peer/exchange', body)
+        if reply is None:
+            return
+        theirs = codec.decode(messages.Exchange, reply)
+        self._merge(theirs)
+        if theirs.version > self._state.replica.version:
+            await self._fetch_deltas(address)
+        self._state.freshness.note_peer(
+            freshness.PeerState(theirs.host, theirs.version, theirs.age),
+            sent_at,
+            self._state.replica.version,
+        )
+
+    async def _fetch_deltas(self, address: str) -> None:
+        query = parse.urlencode({'after': self._state.replica.version})
+        reply = await self._call('GET', address + '/peer/deltas?' + query)
+        if reply is not None:
+            found = codec.decode(configuration.Deltas, reply)
+            self.apply_pushed(found.deltas)
+
+    async def _push_to(self, address: str, body: bytes) -> int:
+        reply = await self._call('POST', address + '/peer/deltas', body)
+        if reply is None:
+            return 0
+        return codec.decode(messages.Held, reply).version
+
+    async def _call(
+        self, method: str, url: str, body: bytes = b''
+    ) -> bytes | None:
+        try:
+            reply = await self._state.http.exchange(
+                method, url, body, EXCHANGE_TIMEOUT_SECONDS
+            )
+        except exceptions.TransportError:
+            self._state.metrics.count('peer_failed')
+            return None
+        self._state.metrics.count('peer_bytes', len(body) + len(reply.body))
+        return reply.body if reply.status == 200 else None
+
+    def _merge(self, theirs: messages.Exchange) -> None:
+        now = self._state.now()
+        assert self._state.members is not None
+        self._state.members.merge(theirs.members, now)
+        source = '%s.%d' % (theirs.host, theirs.incarnation)
+        self._state.queue.merge(source, theirs.served)
+        self._state.quarantine.merge(theirs.marks, now)
+
+    async def _answer_exchange(self, call: server.Call) -> server.Answer:
+        theirs = codec.decode(messages.Exchange, call.body)
+        self._merge(theirs)
+        return server.Answer(codec.encode(self._state.exchange_message()))
+
+    async def _answer_deltas(self, call: server.Call) -> server.Answer:
+        if call.method == 'POST':
+            return await self._take_push(call)
+        found = self._state.replica.after(int(call.query.get('after', '0')))
+        return server.Answer(codec.encode(configuration.Deltas(found or [])))
+
+    async def _take_push(self, call: server.Call) -> server.Answer:
+        pushed = codec.decode(configuration.Deltas, call.body)
+        self.apply_pushed(pushed.deltas)
+        newest = max((item.version for item in pushed.deltas), default=0)
+        if newest > self._state.replica.version:
+            await self.read_head()
+        held = messages.Held(
+            self._state.settings.host, self._state.replica.version
+        )
+        return server.Answer(codec.encode(held))
+
+    async def _all(self, calls: list[Any]) -> list[Any]:
+        running: list[Any] = [defer.ensureDeferred(call) for call in calls]
+        ended = await defer.DeferredList(running, consumeErrors=True)
+        return [value for success, value in ended if success]
--- /dev/null
+++ b/src/cairnloom/gateway/front.py
@@ -0,0 +1,115 @@
+"""The first look at every request: is it allowed, and where does it go."""
+
+from .. import exceptions
+from ..coordination import documents
+
+from . import admission
+from . import callers
+from . import calls
+from . import claiming
+from . import lives
+from . import requests
+from . import state
+
+COMPLETION_PATHS = frozenset(['/v1/chat/completions', '/v1/completions'])
+MODELS_PATH = '/v1/models'
+KEY_BYTES = 512
+
+
+class Front:
+    """Check a request's key and pass it on."""
+
+    def __init__(self, shared: state.GatewayState) -> None:
+        self._state = shared
+        self.lives = lives.Lives()
+        self.admission = admission.Admission(shared)
+        claimer = claiming.Claimer(shared)
+        self._requests = requests.ModelRequests(
+            shared, self.admission, claimer
+        )
+        self._calls = calls.ServiceCalls(shared, self.admission, claimer)
+
+    async def serve(self, caller: callers.CallerRequest) -> None:
+        """Serve one request of a caller."""
+        self._state.metrics.count('requests')
+        refusal = self._refuse_any()
+        if refusal is not None:
+            caller.refuse(refusal)
+            return
+        route = self._state.replica.document.find_route(caller.path)
+        life = self._authenticate(caller, route)
+        if isinstance(life, callers.Refusal):
+            self._state.metrics.count('unauthenticated')
+            caller.refuse(life)
+            return
+        self.lives.begin(life)
+        try:
+            await self._pass_on(life, route)
+        finally:
+            self.lives.end(life)
+
+    def _refuse_any(self) -> callers.Refusal | None:
+        if self._state.health.leaving:
+            return callers.Refusal(
+                503, 'this host is leaving', 'server_error', retry_after=1.0
+            )
+        if not self._state.may_serve():
+            self._state.metrics.count('refused_stale')
+            return callers.Refusal(
+                503,
+                'this host does not know whether its configuration is the '
+                'newest',
+                'server_error',
+                'stale',
+                retry_after=1.0,
+            )
+        return None
+
+    def _authenticate(
+        self, caller: callers.CallerRequest, route: documents.Route | None
+    ) -> lives.Life | callers.Refusal:
+        now = self._state.now()
+        if route is not None and route.open:
+            return lives.Life(caller, '', '', now)
+        try:
+            secret = _read_key(caller)
+        except exceptions.ProtocolError as fault:
+            return _unauthorized(str(fault))
+        key_hash = documents.hash_key(secret)
+        team = self._state.replica.document.keys.find(key_hash)
+        if team is None:
+            return _unauthorized('the key is not known')
+        return lives.Life(caller, team, key_hash, now)
+
+    async def _pass_on(
+        self, life: lives.Life, route: documents.Route | None
+    ) -> None:
+        caller = life.caller
+        if route is not None:
+            await self._calls.serve(life, route)
+            return
+        if caller.path == MODELS_PATH and caller.method == 'GET':
+            self._requests.list_models(caller)
+            return
+        if caller.path not in COMPLETION_PATHS:
+            caller.refuse(callers.Refusal(404, 'no such path'))
+            return
+        if caller.method != 'POST':
+            caller.refuse(callers.Refusal(405, 'only POST is allowed here'))
+            return
+        await self._requests.serve(life)
+
+
+def _read_key(caller: callers.CallerRequest) -> str:
+    scheme, _, secret = caller.header('authorization').partition(' ')
+    if scheme.lower() != 'bearer' or not secret.strip():
+        raise exceptions.ProtocolError('a bearer key is required')
+    if len(secret) > KEY_BYTES:
+        raise exceptions.ProtocolError('the key is too long')
+    return secret.strip()
+
+
+def _unauthorized(message: str) -> callers.Refusal:
+    return callers.Refusal(
+        401, message, 'authentication_error', 'invalid_api_key'
+    )
--- /dev/null
+++ b/src/cairnloom/gateway/state.py
@@ -0,0 +1,123 @@
+"""What the tasks of one gateway share: its decisions and its adapters."""
+
+import dataclasses
+import random
+import time
+from typing import Any
+
+from .. import settings
+from ..admission import limits
+from ..admission import predictions
+from ..admission import queues
+from ..coordination import configuration
+from ..coordination import freshness
+from ..coordination import membership
+from ..coordination import usage
+from ..endpoints import engines
+from ..platform import services
+from ..platform import tables
+from ..protocol import client
+from ..protocol import messages
+from ..routing import choice
+from ..routing import quarantine
+from ..routing import retries
+from ..routing import views
+from ..runtime import admin
+from ..runtime import metrics
+from ..runtime import runner
+
+
+@dataclasses.dataclass
+class Offered:
+    """Work offered for one model since the start, in tokens."""
+
+    prefill_tokens: float = 0.0
+    decode_tokens: float = 0.0
+
+
+class GatewayState:
+    """Everything that one gateway holds, and nothing outlasts it."""
+
+    def __init__(self, reactor: Any, chosen: settings.Host) -> None:
+        self.reactor = reactor
+        self.settings = chosen
+        self.random = random.Random()
+        self.members: membership.View | None = None
+        self.incarnation = int(time.time() * 1000)
+        self.owner = '%s.%d' % (chosen.host, self.incarnation)
+        self.health = admin.Health()
+        self.metrics = metrics.Metrics()
+        self._build_adapters(chosen.platform)
+        self._build_decisions()
+
+    def now(self) -> float:
+        """Return the seconds of this process's monotonic clock."""
+        return self.reactor.seconds()
+
+    def window(self) -> int:
+        """Return the usage window of now."""
+        return int(time.time() / self.settings.timing.usage_window)
+
+    def may_serve(self) -> bool:
+        """Tell whether the configuration held is fresh enough."""
+        return self.freshness.may_serve(
+            self.now(), self.replica.version, self.hosts()
+        )
+
+    def hosts(self) -> int:
+        """Count the hosts there may be."""
+        if self.members is None:
+            return 1
+        return self.members.size()
+
+    def exchange_message(self) -> messages.Exchange:
+        """Return what this gateway tells a peer."""
+        assert self.members is not None
+        now = self.now()
+        return messages.Exchange(
+            host=self.settings.host,
+            incarnation=self.incarnation,
+            version=self.replica.version,
+            age=min(self.freshness.age(now), 1e9),
+            members=self.members.message(),
+            served=self.queue.message(),
+            marks=self.quarantine.message(now),
+        )
+
+    def join(self, address: str) -> None:
+        """Begin the own view of members, once the address is known."""
+        me = membership.Member(
+            self.settings.host, address, self.incarnation, 0
+        )
+        self.members = membership.View(
+            membership.MembershipSettings(), me, self.random, self.now()
+        )
+
+    def offer(self, model: str, prefill: float, decode: float) -> None:
+        """Add to the work offered for a model."""
+        offered = self.offered.setdefault(model, Offered())
+        offered.prefill_tokens += prefill
+        offered.decode_tokens += decode
+
+    def _build_adapters(self, platform: settings.Platform) -> None:
+        self.http = client.HttpClient(self.reactor)
+        self.table = tables.Table(self.http, str(platform.table))
+        self.objects = services.Objects(self.http, str(platform.objects))
+        self.host_list = services.Hosts(self.http, str(platform.hosts))
+        self.ordering = services.Ordering(self.http, str(platform.ordering))
+        self.engines = engines.Engines(self.http)
+        self.runner = runner.Runner(self.table, self.reactor)
+
+    def _build_decisions(self) -> None:
+        timing = self.settings.timing
+        self.replica = configuration.Replica()
+        self.freshness = freshness.Freshness(timing.freshness)
+        self.view = views.View()
+        self.router = choice.Router(self.view, self.random)
+        self.queue = queues.FairQueue()
+        self.predictions = predictions.Predictions()
+        self.limits = limits.TeamLimits()
+        self.budget = retries.RetryBudget()
+        self.quarantine = quarantine.Quarantine(self.owner)
+        self.book = usage.UsageBook(self.owner)
+        self.offered: dict[str, Offered] = {}
--- /dev/null
+++ b/src/cairnloom/gateway/watch.py
@@ -0,0 +1,55 @@
+"""The task that watches endpoints: the platform's list and load reports."""
+
+import random
+from typing import Any
+
+from twisted.internet import defer
+
+from .. import exceptions
+from ..routing import views
+
+from . import state
+
+REPORTS_PER_ROUND = 32
+
+
+class EndpointWatch:
+    """Keep the view of endpoints up to date."""
+
+    def __init__(self, shared: state.GatewayState) -> None:
+        self._state = shared
+
+    async def watch(self) -> None:
+        """Read the list, then the load of a bounded number of endpoints."""
+        await self._read_list()
+        now = self._state.now()
+        self._state.view.undrain(now)
+        self._state.quarantine.settle(now)
+        engines = [
+            load
+            for load in self._state.view.loads()
+            if load.entry.kind == 'engine'
+        ]
+        count = min(REPORTS_PER_ROUND, len(engines))
+        chosen = random.sample(engines, count)
+        readings: list[Any] = [
+            defer.ensureDeferred(self._read_load(load)) for load in chosen
+        ]
+        await defer.DeferredList(readings, consumeErrors=True)
+
+    async def _read_list(self) -> None:
+        try:
+            listed = await self._state.ordering.fetch()
+        except exceptions.PlatformError:
+            # What is known stays in use while the platform does not answer.
+            return
+        self._state.view.list_endpoints(listed.endpoints, self._state.now())
+
+    async def _read_load(self, load: views.Load) -> None:
+        endpoint = load.entry.endpoint
+        try:
+            report = await self._state.engines.load(load.entry.address)
+        except exceptions.EndpointError:
+            self._state.view.note_failure(endpoint, self._state.now())
+            return
+        self._state.view.note_report(endpoint, report, self._state.now())
--- /dev/null
+++ b/src/cairnloom/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's program: targets, teams, keys, routes, and a look inside."""
--- /dev/null
+++ b/src/cairnloom/operator/views.py
@@ -0,0 +1,89 @@
+"""Tables that a person can read."""
+
+from typing import Any
+
+
+def table(heads: list[str], lines: list[list[Any]]) -> str:
+    """Lay out lines in columns.
+
+    >>> print(table(['name', 'n'], [['a', 1], ['long', 22]]))
+    name  n
+    a     1
+    long  22
+    """
+    cells = [heads] + [[_show(cell) for cell in line] for line in lines]
+    widths = [max(len(line[at]) for line in cells) for at in range(len(heads))]
+    return '\n'.join(
+        '  '.join(
+            cell.ljust(width) for cell, width in zip(line, widths)
+        ).rstrip()
+        for line in cells
+    )
+
+
+def status(state: dict[str, Any]) -> str:
+    """Show a gateway's state dump as tables."""
+    parts = [
+        'version %d, fresh %.1f s ago, %s, %d hosts'
+        % (
+            state['version'],
+            state['fresh_age_seconds'],
+            'serving' if state['may_serve'] else 'NOT SERVING',
+            len(state['members']),
+        ),
+        _classes(state['classes']),
+        _endpoints(state['endpoints']),
+        'teams: %s' % (', '.join(state['teams']) or 'none'),
+    ]
+    return '\n\n'.join(parts)
+
+
+def _classes(classes: list[dict[str, Any]]) -> str:
+    heads = ['class', 'model', 'target', 'p95', 'met', 'done', 'shed']
+    lines = [
+        [
+            item['name'],
+            item['model'],
+            '%gs' % item['first_token_seconds'],
+            '%.3fs' % item['first_token_p95'],
+            _share(item['met'], item['done']),
+            int(item['done']),
+            int(item['shed']),
+        ]
+        for item in classes
+    ]
+    return table(heads, lines)
+
+
+def _endpoints(endpoints: list[dict[str, Any]]) -> str:
+    heads = ['endpoint', 'domain', 'serves', 'role', 'state', 'running']
+    lines = [
+        [
+            item['endpoint'],
+            item['failure_domain'] + (' (cheap)' if item['cheap'] else ''),
+            item['model'],
+            item['role'] if item['kind'] == 'engine' else 'service',
+            _endpoint_state(item),
+            '%d/%d' % (item['running'], item['slots']),
+        ]
+        for item in endpoints
+    ]
+    return table(heads, lines)
+
+
+def _endpoint_state(item: dict[str, Any]) -> str:
+    if item['ejected']:
+        return 'ejected'
+    if item['draining']:
+        return 'draining'
+    return item['state']
+
+
+def _share(part: float, whole: float) -> str:
+    if not whole:
+        return '-'
+    return '%d%%' % round(100 * min(1.0, part / whole))
+
+
+def _show(cell: Any) -> str:
+    return '-' if cell is None else str(cell)
--- /dev/null
+++ b/src/cairnloom/platform/tables.py
@@ -0,0 +1,84 @@
+"""The transactional table service.
+
+Stands between the coordination parts and the platform. Rows hold a JSON
+value and a version; a transaction writes several rows if all of them, and
+all rows it only checks, still have the version it expects.
+"""
+
+from typing import Any
+from urllib import parse
+
+import expression
+
+from .. import exceptions
+from ..coordination import rows
+from ..protocol import client
+from ..protocol import codec
+
+TIMEOUT_SECONDS = 1.5
+
+
+class Table:
+    """Speak to the table service over HTTP.
+
+    Errors are values: a :class:`~cairnloom.exceptions.PlatformError` whose
+    ``unknown`` is true when a write may have taken effect.
+    """
+
+    def __init__(self, http: client.HttpClient, base: str) -> None:
+        self._http = http
+        self._base = base.rstrip('/')
+        self.reads = 0
+        self.writes = 0
+
+    async def read(
+        self, key: str
+    ) -> expression.Result[rows.Row, exceptions.PlatformError]:
+        """Read one row."""
+        self.reads += 1
+        url = '%s/rows/%s' % (self._base, parse.quote(key, safe=''))
+        return await self._call('GET', url, b'', rows.Row)
+
+    async def scan(
+        self, prefix: str, after: str = ''
+    ) -> expression.Result[rows.Scan, exceptions.PlatformError]:
+        """Read the rows under a prefix whose keys come after a given one."""
+        self.reads += 1
+        query = parse.urlencode({'prefix': prefix, 'after': after})
+        url = '%s/rows?%s' % (self._base, query)
+        return await self._call('GET', url, b'', rows.Scan)
+
+    async def commit(
+        self, transaction: rows.Transaction
+    ) -> expression.Result[rows.Outcome, exceptions.PlatformError]:
+        """Carry out a transaction once; it is never sent again here."""
+        self.writes += len(transaction.writes)
+        url = '%s/transactions' % self._base
+        body = codec.encode(transaction)
+        shape: Any = rows.Outcome
+        return await self._call('POST', url, body, shape)
+
+    async def _call(
+        self, method: str, url: str, body: bytes, shape: Any
+    ) -> expression.Result[Any, exceptions.PlatformError]:
+        try:
+            reply = await self._http.exchange(
+                method, url, body, TIMEOUT_SECONDS
+            )
+            return expression.Ok(_read_reply(reply, shape))
+        except exceptions.TransportError as fault:
+            return expression.Error(
+                exceptions.PlatformError('table: %s' % fault, fault.sent)
+            )
+        except exceptions.ProtocolError as fault:
+            return expression.Error(
+                exceptions.PlatformError('table: %s' % fault, True)
+            )
+        except exceptions.PlatformError as fault:
+            return expression.Error(fault)
+
+
+def _read_reply(reply: client.Reply, shape: Any) -> Any:
+    if reply.status >= 500:
+        raise exceptions.PlatformError('table: status %d' % reply.status)
+    return codec.decode(shape, reply.body)
--- /dev/null
+++ b/src/cairnloom/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes, their codec, and HTTP to carry them."""
--- /dev/null
+++ b/src/cairnloom/protocol/client.py
@@ -0,0 +1,231 @@
+"""HTTP towards other processes: JSON exchanges and streamed answers.
+
+Every adapter and the exchange between peers send through this module, so
+that a request which may have been sent is told from one that was not.
+"""
+
+import dataclasses
+import io
+from typing import Any
+from typing import Protocol
+
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.internet import protocol
+from twisted.python import failure
+from twisted.web import client
+from twisted.web import http_headers
+from twisted.web import iweb
+from zope.interface import implementer
+
+from .. import exceptions
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+IDLE_CONNECTION_SECONDS = 20.0
+CONNECTIONS_PER_ADDRESS = 64
+LARGEST_REPLY_BYTES = 16 * 1024 * 1024
+
+_NOT_SENT = (
+    error.ConnectError,
+    error.ConnectionRefusedError,
+    error.DNSLookupError,
+    error.TimeoutError,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """A whole reply: its status and its body."""
+
+    status: int
+    body: bytes
+
+
+class BodySink(Protocol):
+    """What takes a streamed body, piece by piece."""
+
+    def take(self, data: bytes) -> None:
+        """Take the next bytes of the body."""
+
+    def finish(self, whole: bool) -> None:
+        """Note that no more will come; ``whole`` tells of a clean end."""
+
+
+class _Receiver(protocol.Protocol):
+    """Hand the pieces of one body to a sink."""
+
+    def __init__(self, sink: BodySink) -> None:
+        self._sink = sink
+
+    def dataReceived(self, data: bytes) -> None:
+        self._sink.take(data)
+
+    def connectionLost(
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        self._sink.finish(bool(reason.check(client.ResponseDone)))
+
+
+class _Collector:
+    """Keep a bounded body and fire a deferred with it."""
+
+    def __init__(self) -> None:
+        self.done: defer.Deferred[bytes] = defer.Deferred()
+        self._body = io.BytesIO()
+
+    def take(self, data: bytes) -> None:
+        self._body.write(data)
+        if self._body.tell() > LARGEST_REPLY_BYTES:
+            self._fail('reply too large')
+
+    def finish(self, whole: bool) -> None:
+        if not whole:
+            self._fail('reply cut off')
+        elif not self.done.called:
+            self.done.callback(self._body.getvalue())
+
+    def _fail(self, reason: str) -> None:
+        if not self.done.called:
+            self.done.errback(exceptions.TransportError(reason, sent=True))
+
+
+@implementer(iweb.IBodyProducer)
+class _BytesProducer:
+    """Write a body that is held in memory."""
+
+    def __init__(self, body: bytes) -> None:
+        self.length = len(body)
+        self._body = body
+
+    def startProducing(self, consumer: Any) -> defer.Deferred[None]:
+        consumer.write(self._body)
+        return defer.succeed(None)
+
+    def pauseProducing(self) -> None:
+        pass
+
+    def resumeProducing(self) -> None:
+        pass
+
+    def stopProducing(self) -> None:
+        pass
+
+
+class StreamedReply:
+    """A reply whose head has come and whose body is still to be read."""
+
+    def __init__(self, response: Any) -> None:
+        self._response = response
+        self.status: int = response.code
+        self.headers: http_headers.Headers = response.headers
+        self._receiver: _Receiver | None = None
+
+    def read_into(self, sink: BodySink) -> None:
+        """Hand the body to a sink as it arrives."""
+        self._receiver = _Receiver(sink)
+        self._response.deliverBody(self._receiver)
+
+    def pause(self) -> None:
+        """Stop reading until :meth:`resume`, for a slow consumer."""
+        if self._receiver is not None and self._receiver.transport:
+            self._receiver.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Go on reading after :meth:`pause`."""
+        if self._receiver is not None and self._receiver.transport:
+            self._receiver.transport.resumeProducing()
+
+    def cancel(self) -> None:
+        """Close the connection, which tells the server to stop its work."""
+        if self._receiver is not None and self._receiver.transport:
+            transport: Any = self._receiver.transport
+            transport.loseConnection()
+
+    async def collect(self) -> bytes:
+        """Read the whole body, bounded in size."""
+        collector = _Collector()
+        self.read_into(collector)
+        return await collector.done
+
+
+class HttpClient:
+    """Send requests to other processes over kept or fresh connections."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+        self._pool = client.HTTPConnectionPool(reactor, persistent=True)
+        self._pool.retryAutomatically = False
+        self._pool.maxPersistentPerHost = CONNECTIONS_PER_ADDRESS
+        self._pool.cachedConnectionTimeout = int(IDLE_CONNECTION_SECONDS)
+        self._kept = client.Agent(
+            reactor, connectTimeout=CONNECT_TIMEOUT_SECONDS, pool=self._pool
+        )
+        self._fresh = client.Agent(
+            reactor, connectTimeout=CONNECT_TIMEOUT_SECONDS
+        )
+
+    async def open(
+        self,
+        method: str,
+        url: str,
+        body: bytes = b'',
+        headers: http_headers.Headers | None = None,
+        timeout: float = 30.0,
+        fresh: bool = False,
+    ) -> StreamedReply:
+        """Send a request and return once the head of its reply has come.
+
+        ``timeout`` is in seconds and covers the head alone. With ``fresh`` a
+        new connection is made, so that a refusal to connect is sure to mean
+        that nothing was sent. Raises
+        :class:`~cairnloom.exceptions.TransportError`.
+        """
+        agent = self._fresh if fresh else self._kept
+        producer: Any = _BytesProducer(body) if body else None
+        pending = agent.request(
+            method.encode(),
+            url.encode(),
+            headers,
+            producer,
+        )
+        pending.addTimeout(timeout, self._reactor)
+        try:
+            response = await pending
+        except defer.TimeoutError as fault:
+            raise exceptions.TransportError(
+                'no reply in time', True
+            ) from fault
+        except Exception as fault:
+            sent = not isinstance(fault, _NOT_SENT)
+            reason = type(fault).__name__
+            raise exceptions.TransportError(reason, sent) from fault
+        return StreamedReply(response)
+
+    async def exchange(
+        self,
+        method: str,
+        url: str,
+        body: bytes = b'',
+        timeout: float = 2.0,
+        headers: http_headers.Headers | None = None,
+    ) -> Reply:
+        """Send a JSON request and read its whole reply.
+
+        ``timeout`` is in seconds, for the head and again for the body.
+        """
+        if headers is None:
+            headers = http_headers.Headers({})
+        headers.setRawHeaders('content-type', ['application/json'])
+        reply = await self.open(method, url, body, headers, timeout)
+        reading = defer.Deferred.fromCoroutine(reply.collect())
+        reading.addTimeout(timeout, self._reactor)
+        try:
+            content = await reading
+        except defer.TimeoutError as fault:
+            reply.cancel()
+            raise exceptions.TransportError('body too slow', True) from fault
+        return Reply(reply.status, content)
+
+    async def close(self) -> None:
+        """Close every kept connection."""
+        await self._pool.closeCachedConnections()
--- /dev/null
+++ b/src/cairnloom/protocol/server.py
@@ -0,0 +1,120 @@
+"""HTTP from other processes: routing of JSON calls to coroutines.
+
+The admin and peer listeners of each program, and the stand-ins, are built on
+this module. Callers' requests have a listener of their own in the gateway.
+"""
+
+import dataclasses
+from typing import Any
+from typing import Awaitable
+from typing import Callable
+
+from twisted.internet import defer
+from twisted.python import failure
+from twisted.web import http
+from twisted.web import resource
+from twisted.web import server
+
+from .. import exceptions
+
+from . import codec
+
+LARGEST_CALL_BYTES = 16 * 1024 * 1024
+IDLE_SECONDS = 60
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """One request to a JSON listener."""
+
+    method: str
+    path: str
+    body: bytes
+    query: dict[str, str]
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """What a handler answers with."""
+
+    body: bytes = b'{}'
+    status: int = 200
+    content_type: str = 'application/json'
+
+
+Handler = Callable[[Call], Awaitable[Answer]]
+
+
+class JsonListener(resource.Resource):
+    """Pass each request to the handler with the longest matching prefix."""
+
+    isLeaf = True
+
+    def __init__(self, handlers: dict[str, Handler]) -> None:
+        super().__init__()
+        self._handlers = handlers
+
+    def render(self, request: server.Request) -> int:
+        call = _read_call(request)
+        handler = self._find(call.path)
+        if handler is None:
+            _write(request, Answer(b'{"error":"no such path"}', 404))
+            return server.NOT_DONE_YET
+        running = defer.Deferred.fromCoroutine(_run(handler, call))
+        gone = request.notifyFinish()
+        gone.addErrback(lambda _: running.cancel())
+        running.addCallback(lambda answer: _write(request, answer))
+        running.addErrback(_ignore_cancelled)
+        return server.NOT_DONE_YET
+
+    def _find(self, path: str) -> Handler | None:
+        fitting = [name for name in self._handlers if path.startswith(name)]
+        if not fitting:
+            return None
+        return self._handlers[max(fitting, key=len)]
+
+
+async def _run(handler: Handler, call: Call) -> Answer:
+    try:
+        return await handler(call)
+    except exceptions.ProtocolError as fault:
+        return refuse(str(fault), http.BAD_REQUEST)
+    except exceptions.PlatformError as fault:
+        return refuse(str(fault), http.SERVICE_UNAVAILABLE)
+
+
+def refuse(reason: str, status: int) -> Answer:
+    """Answer with an error and its reason."""
+    return Answer(codec.encode({'error': reason}), status)
+
+
+def _ignore_cancelled(reason: failure.Failure) -> None:
+    reason.trap(defer.CancelledError, RuntimeError)
+
+
+def _read_call(request: server.Request) -> Call:
+    body = request.content.read() if request.content else b''
+    query = {
+        name.decode(): values[0].decode(errors='replace')
+        for name, values in (request.args or {}).items()
+    }
+    path = request.path.decode(errors='replace')
+    return Call(request.method.decode(), path, body, query)
+
+
+def _write(request: server.Request, answer: Answer) -> None:
+    if getattr(request, '_disconnected', False):
+        return
+    request.setResponseCode(answer.status)
+    request.setHeader('content-type', answer.content_type)
+    request.setHeader('content-length', str(len(answer.body)))
+    request.write(answer.body)
+    request.finish()
+
+
+def listen(
+    reactor: Any, address: str, port: int, handlers: dict[str, Handler]
+) -> Any:
+    """Open a JSON listener; port 0 takes a free one."""
+    site = server.Site(JsonListener(handlers), timeout=IDLE_SECONDS)
+    return reactor.listenTCP(port, site, interface=address)
--- /dev/null
+++ b/src/cairnloom/runtime/admin.py
@@ -0,0 +1,61 @@
+"""The admin listener: health, metrics and a state dump of each process."""
+
+from typing import Any
+from typing import Callable
+
+import pydantic
+
+from ..protocol import server
+
+from . import metrics
+
+
+class Health:
+    """Whether a process is ready for work; false first when leaving."""
+
+    def __init__(self) -> None:
+        self.starting = True
+        self.leaving = False
+        self.reason: Callable[[], str] = lambda: ''
+
+    def fault(self) -> str:
+        """Return why the process is not ready, or an empty text."""
+        if self.leaving:
+            return 'leaving'
+        if self.starting:
+            return 'starting'
+        return self.reason()
+
+
+def handlers(
+    health: Health,
+    counted: metrics.Metrics,
+    dump: Callable[[], Any],
+) -> dict[str, server.Handler]:
+    """Return the handlers that every admin listener has."""
+
+    async def show_health(call: server.Call) -> server.Answer:
+        fault = health.fault()
+        if fault:
+            return server.refuse(fault, 503)
+        return server.Answer(b'{"ready":true}')
+
+    async def show_metrics(call: server.Call) -> server.Answer:
+        return server.Answer(counted.render().encode(), 200, 'text/plain')
+
+    async def show_state(call: server.Call) -> server.Answer:
+        return server.Answer(to_json(dump()))
+
+    return {
+        '/health': show_health,
+        '/metrics': show_metrics,
+        '/state': show_state,
+    }
+
+
+def to_json(value: Any) -> bytes:
+    """Write plain values and data classes as JSON."""
+    return _ANY.dump_json(value)
+
+
+_ANY: pydantic.TypeAdapter[Any] = pydantic.TypeAdapter(Any)
--- /dev/null
+++ b/src/cairnloom/runtime/metrics.py
@@ -0,0 +1,86 @@
+"""Counters and latency histograms, rendered as text for scraping."""
+
+from hdrh import histogram
+
+SMALLEST_MICROSECONDS = 1
+LARGEST_MICROSECONDS = 3600 * 1000 * 1000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (50.0, 95.0, 99.0)
+
+Labels = tuple[tuple[str, str], ...]
+
+
+class Metrics:
+    """Everything one process counts and times."""
+
+    def __init__(self) -> None:
+        self._counters: dict[tuple[str, Labels], float] = {}
+        self._timers: dict[tuple[str, Labels], histogram.HdrHistogram] = {}
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Add to a counter."""
+        key = (name, tuple(sorted(labels.items())))
+        self._counters[key] = self._counters.get(key, 0) + amount
+
+    def gauge(self, name: str, value: float, **labels: str) -> None:
+        """Set a value that may fall as well as rise."""
+        self._counters[(name, tuple(sorted(labels.items())))] = value
+
+    def time(self, name: str, seconds: float, **labels: str) -> None:
+        """Record a duration."""
+        key = (name, tuple(sorted(labels.items())))
+        timer = self._timers.get(key)
+        if timer is None:
+            timer = histogram.HdrHistogram(
+                SMALLEST_MICROSECONDS, LARGEST_MICROSECONDS, SIGNIFICANT_DIGITS
+            )
+            self._timers[key] = timer
+        timer.record_value(max(SMALLEST_MICROSECONDS, int(seconds * 1e6)))
+
+    def value(self, name: str, **labels: str) -> float:
+        """Return a counter or gauge, 0 if it was never set."""
+        return self._counters.get((name, tuple(sorted(labels.items()))), 0)
+
+    def quantile(self, name: str, percentile: float, **labels: str) -> float:
+        """Return a percentile of a timer, in seconds."""
+        timer = self._timers.get((name, tuple(sorted(labels.items()))))
+        if timer is None or timer.get_total_count() == 0:
+            return 0.0
+        return timer.get_value_at_percentile(percentile) / 1e6
+
+    def render(self) -> str:
+        """Write all metrics as lines of name, labels and value."""
+        lines = [
+            'cairnloom_%s%s %g' % (name, _render_labels(labels), value)
+            for (name, labels), value in sorted(self._counters.items())
+        ]
+        for (name, labels), timer in sorted(
+            self._timers.items(), key=lambda item: item[0]
+        ):
+            lines.extend(_render_timer(name, labels, timer))
+        return '\n'.join(lines) + '\n'
+
+
+def _render_labels(labels: Labels) -> str:
+    if not labels:
+        return ''
+    return '{%s}' % ','.join('%s="%s"' % pair for pair in labels)
+
+
+def _render_timer(
+    name: str, labels: Labels, timer: histogram.HdrHistogram
+) -> list[str]:
+    lines = []
+    for percentile in QUANTILES:
+        marked = labels + (('quantile', '%g' % (percentile / 100)),)
+        seconds = timer.get_value_at_percentile(percentile) / 1e6
+        lines.append(
+            'cairnloom_%s_seconds%s %g'
+            % (name, _render_labels(marked), seconds)
+        )
+    count = timer.get_total_count()
+    lines.append(
+        'cairnloom_%s_seconds_count%s %d'
+        % (name, _render_labels(labels), count)
+    )
+    return lines
--- /dev/null
+++ b/src/cairnloom/runtime/runner.py
@@ -0,0 +1,76 @@
+"""Carry out the table calls that coordination parts ask for."""
+
+import collections
+from typing import Any
+from typing import Callable
+
+from ..coordination import actions
+from ..coordination import events
+from ..coordination import rows
+from ..platform import tables
+
+Step = Callable[[Any], list[Any]]
+
+
+class Runner:
+    """Perform table actions one after the other and feed back what came."""
+
+    def __init__(self, table: tables.Table, clock: Any) -> None:
+        self._table = table
+        self._clock = clock
+
+    async def drive(self, first: list[Any], step: Step) -> list[Any]:
+        """Carry out table actions until none is left.
+
+        Every event goes to ``step``; actions that are not the table's are
+        returned, in order.
+        """
+        waiting = collections.deque(first)
+        others = []
+        while waiting:
+            action = waiting.popleft()
+            match action:
+                case actions.Read() | actions.Scan() | actions.Commit():
+                    waiting.extend(step(await self.perform(action)))
+                case _:
+                    others.append(action)
+        return others
+
+    async def perform(self, action: actions.TableAction) -> events.TableEvent:
+        """Carry out one table action."""
+        match action:
+            case actions.Read(key=key):
+                return await self._read(key)
+            case actions.Scan():
+                return await self._scan(action)
+            case actions.Commit(transaction=transaction):
+                return await self._commit(transaction)
+
+    async def _read(self, key: str) -> events.TableEvent:
+        sent_at = self._clock.seconds()
+        result = await self._table.read(key)
+        if result.is_ok():
+            return events.ReadDone(result.ok, sent_at)
+        return events.ReadFailed(key)
+
+    async def _scan(self, action: actions.Scan) -> events.TableEvent:
+        result = await self._table.scan(action.prefix, action.after)
+        if result.is_ok():
+            return events.ScanDone(action.prefix, result.ok.rows)
+        return events.ScanFailed(action.prefix)
+
+    async def _commit(
+        self, transaction: rows.Transaction
+    ) -> events.TableEvent:
+        sent_at = self._clock.seconds()
+        write_id = transaction.write_id
+        result = await self._table.commit(transaction)
+        if result.is_error():
+            if result.error.unknown:
+                return events.CommitUnknown(write_id)
+            return events.CommitFailed(write_id)
+        match result.ok:
+            case rows.Committed(versions=versions):
+                return events.CommitDone(write_id, versions, sent_at)
+            case rows.Conflict(rows=found):
+                return events.CommitConflict(write_id, found)
--- /dev/null
+++ b/src/cairnloom/settings.py
@@ -0,0 +1,138 @@
+"""Settings of every program, read from JSON and checked as a whole.
+
+A program reads its settings once at start, before it opens anything, and
+passes the object on whole.
+"""
+
+import pathlib
+from typing import TypeVar
+
+import expression
+import pydantic
+
+from .protocol import codec
+
+_STRICT = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+class Listener(pydantic.BaseModel):
+    """An address and port to listen on; port 0 takes a free one."""
+
+    model_config = _STRICT
+
+    address: pydantic.IPvAnyAddress
+    port: int = pydantic.Field(ge=0, le=65535)
+
+
+class Platform(pydantic.BaseModel):
+    """Base URLs of the platform's services."""
+
+    model_config = _STRICT
+
+    table: pydantic.AnyHttpUrl
+    objects: pydantic.AnyHttpUrl
+    ordering: pydantic.AnyHttpUrl
+    usage: pydantic.AnyHttpUrl
+    hosts: pydantic.AnyHttpUrl
+
+
+class Timing(pydantic.BaseModel):
+    """Periods and bounds of coordination, all in seconds."""
+
+    model_config = _STRICT
+
+    exchange: float = pydantic.Field(0.5, gt=0, le=10)
+    poll: float = pydantic.Field(0.5, gt=0, le=10)
+    freshness: float = pydantic.Field(2.5, gt=0, le=60)
+    lease_term: float = pydantic.Field(3.0, gt=0, le=60)
+    lease_margin: float = pydantic.Field(0.5, ge=0, le=10)
+    usage_flush: float = pydantic.Field(1.0, gt=0, le=60)
+    usage_window: float = pydantic.Field(10.0, gt=0, le=86400)
+    seal_grace: float = pydantic.Field(3.0, gt=0, le=600)
+    drain: float = pydantic.Field(30.0, gt=0, le=3600)
+
+    @pydantic.model_validator(mode='after')
+    def _check_order(self) -> 'Timing':
+        if self.freshness <= self.poll:
+            raise ValueError('freshness must be longer than poll')
+        return self
+
+
+class Limits(pydantic.BaseModel):
+    """Bounds on what one caller may send or hold."""
+
+    model_config = _STRICT
+
+    body_bytes: int = pydantic.Field(4 * 1024 * 1024, gt=0)
+    queued_requests: int = pydantic.Field(512, gt=0)
+    request_seconds: float = pydantic.Field(30.0, gt=0)
+    answer_seconds: float = pydantic.Field(300.0, gt=0)
+
+
+class Host(pydantic.BaseModel):
+    """Settings of one entry host, shared by the programs that run on it."""
+
+    model_config = _STRICT
+
+    host: str = pydantic.Field(min_length=1, max_length=64)
+    deployment: str = pydantic.Field(min_length=1, max_length=64)
+    failure_domain: str = pydantic.Field(min_length=1, max_length=64)
+    callers: Listener
+    gateway_admin: Listener
+    controller_admin: Listener
+    reporter_admin: Listener
+    platform: Platform
+    timing: Timing = Timing()
+    limits: Limits = Limits()
+
+
+class StandinEndpoint(pydantic.BaseModel):
+    """One endpoint that the stand-in runs from its start."""
+
+    model_config = _STRICT
+
+    endpoint: str
+    kind: str = pydantic.Field(pattern='^(engine|service)$')
+    failure_domain: str
+    model: str = ''
+    port: int = pydantic.Field(0, ge=0, le=65535)
+    cheap: bool = False
+    checks_fence: bool = True
+
+
+class Standin(pydantic.BaseModel):
+    """Settings of the stand-in of platform and endpoints."""
+
+    model_config = _STRICT
+
+    listen: Listener
+    failure_domains: list[str] = pydantic.Field(min_length=1)
+    endpoints: list[StandinEndpoint] = []
+    hosts: dict[str, pydantic.AnyHttpUrl] = {}
+    prefill_tokens_per_second: float = pydantic.Field(20000.0, gt=0)
+    decode_seconds_per_token: float = pydantic.Field(0.005, ge=0)
+    engine_slots: int = pydantic.Field(16, gt=0)
+    role_change_seconds: float = pydantic.Field(2.0, ge=0)
+    start_seconds: float = pydantic.Field(2.0, ge=0)
+    reclaim_notice_seconds: float = pydantic.Field(3.0, ge=0)
+
+
+S = TypeVar('S', bound=pydantic.BaseModel)
+
+
+def load(shape: type[S], path: str) -> expression.Result[S, list[str]]:
+    """Read and check a settings file.
+
+    The error holds every fault, each with its path inside the file.
+
+    >>> load(Host, '/nonexistent').is_error()
+    True
+    """
+    try:
+        data = pathlib.Path(path).read_bytes()
+    except OSError as fault:
+        return expression.Error(['%s: %s' % (path, fault.strerror)])
+    try:
+        return expression.Ok(shape.model_validate_json(data))
+    except pydantic.ValidationError as fault:
+        return expression.Error(codec.list_faults(fault))
--- /dev/null
+++ b/src/cairnloom/standins/engine.py
@@ -0,0 +1,253 @@
+"""Stand-in of a model engine: continuous batching, roles, orders, crashes.
+
+It speaks the API that callers use, streamed, and makes up words from the
+prompt, so that the same prompt gives the same words and a request that is
+resumed at a token goes on with the very next word.
+"""
+
+import dataclasses
+import hashlib
+import json
+from typing import Any
+
+from twisted.web import resource
+from twisted.web import server as web_server
+
+from ..endpoints import engines
+from ..protocol import codec
+
+CRASH_MARK = 'crash-this-engine'
+DEFAULT_TOKENS = 24
+CHARACTERS_PER_TOKEN = 4
+WORDS = 'core box draft angle riser gate sprue flask cope drag vent fillet'
+ROLE_SPEEDS = {
+    'mixed': (1.0, 1.0),
+    'prefill': (2.0, 0.5),
+    'decode': (0.5, 2.0),
+}
+
+
+@dataclasses.dataclass
+class EngineState:
+    """An engine's settings and what it is doing."""
+
+    model: str
+    checks_fence: bool
+    slots: int
+    prefill_rate: float
+    token_seconds: float
+    change_seconds: float
+    role: engines.Role = 'mixed'
+    changing: bool = False
+    newest_fence: int = 0
+    order_id: str = ''
+    prefill_free_at: float = 0.0
+    slowdown: float = 1.0
+
+
+class EngineResource(resource.Resource):
+    """The engine's HTTP face."""
+
+    isLeaf = True
+
+    def __init__(self, clock: Any, state: EngineState, crash: Any) -> None:
+        super().__init__()
+        self.state = state
+        self.orders: list[engines.EngineOrder] = []
+        self.cut_by_order = 0
+        self.header_names: set[str] = set()
+        self._clock = clock
+        self._crash = crash
+        self._streams: set[_Stream] = set()
+
+    def render(self, request: web_server.Request) -> Any:
+        path = request.path.decode()
+        if path == '/load':
+            return codec.encode(self._report())
+        if path == '/orders':
+            return self._take_order(request)
+        if path.startswith('/v1/'):
+            return self._complete(request, path)
+        request.setResponseCode(404)
+        return b'{}'
+
+    def _report(self) -> engines.LoadReport:
+        prefill, decode = ROLE_SPEEDS[self.state.role]
+        queued = max(0.0, self.state.prefill_free_at - self._clock.seconds())
+        rate = self.state.prefill_rate * prefill
+        return engines.LoadReport(
+            model=self.state.model,
+            role=self.state.role,
+            state='changing' if self.state.changing else 'serving',
+            running=len(self._streams),
+            queued_prefill_tokens=int(queued * rate),
+            slots=self._slots(),
+            prefill_tokens_per_second=rate,
+            seconds_per_token=self.state.token_seconds / decode,
+            order_id=self.state.order_id,
+        )
+
+    def _slots(self) -> int:
+        _, decode = ROLE_SPEEDS[self.state.role]
+        return max(1, int(self.state.slots * decode))
+
+    def _take_order(self, request: web_server.Request) -> bytes:
+        assert request.content is not None
+        order = codec.decode(engines.EngineOrder, request.content.read())
+        if self.state.checks_fence and order.fence < self.state.newest_fence:
+            request.setResponseCode(409)
+            return b'{"error":"stale fence"}'
+        self.state.newest_fence = max(self.state.newest_fence, order.fence)
+        if order.order_id == self.state.order_id:
+            return b'{}'
+        self.orders.append(order)
+        self._begin_change(order)
+        return b'{}'
+
+    def _begin_change(self, order: engines.EngineOrder) -> None:
+        self.cut_by_order += len(self._streams)
+        for stream in list(self._streams):
+            stream.cut()
+        self.state.changing = True
+        self.state.model = order.model
+        self.state.role = order.role
+        self.state.order_id = order.order_id
+        self._clock.callLater(self.state.change_seconds, self._end_change)
+
+    def _end_change(self) -> None:
+        self.state.changing = False
+
+    def _complete(self, request: web_server.Request, path: str) -> Any:
+        assert request.content is not None
+        names = request.requestHeaders.getAllRawHeaders()
+        self.header_names.update(name.decode().lower() for name, _ in names)
+        if self.state.changing:
+            request.setResponseCode(503)
+            return b'{"error":{"message":"changing","type":"unavailable"}}'
+        body = json.loads(request.content.read())
+        prompt = json.dumps(body.get('messages') or body.get('prompt'))
+        if CRASH_MARK in prompt:
+            self._crash()
+            return web_server.NOT_DONE_YET
+        stream = _Stream(self, request, path, body, prompt)
+        self._streams.add(stream)
+        request.notifyFinish().addBoth(lambda _: self._streams.discard(stream))
+        self._clock.callLater(self._prefill(prompt), stream.emit)
+        return web_server.NOT_DONE_YET
+
+    def _prefill(self, prompt: str) -> float:
+        rate = self.state.prefill_rate * ROLE_SPEEDS[self.state.role][0]
+        now = self._clock.seconds()
+        started = max(now, self.state.prefill_free_at)
+        tokens = count_tokens(prompt)
+        free_at = started + tokens / rate * self.state.slowdown
+        self.state.prefill_free_at = free_at
+        return free_at - now
+
+    def pace(self) -> float:
+        """Return the seconds until the next token of a stream."""
+        _, decode = ROLE_SPEEDS[self.state.role]
+        pressure = max(1.0, len(self._streams) / self._slots())
+        seconds = self.state.token_seconds / decode
+        return seconds * pressure * self.state.slowdown
+
+    def later(self, seconds: float, call: Any) -> None:
+        """Call something on the engine's clock."""
+        self._clock.callLater(seconds, call)
+
+    def cut_all(self) -> None:
+        """Break off every stream, as a crash does."""
+        for stream in list(self._streams):
+            stream.cut()
+
+
+def count_tokens(text: str) -> int:
+    """Estimate how many tokens a text has."""
+    return max(1, len(text) // CHARACTERS_PER_TOKEN)
+
+
+def make_word(prompt: str, place: int) -> str:
+    """Return the word that an answer to a prompt has at a place."""
+    words = WORDS.split()
+    digest = hashlib.sha256(('%d %s' % (place, prompt)).encode()).digest()
+    return words[digest[0] % len(words)] + ' '
+
+
+class _Stream:
+    """One answer on its way."""
+
+    def __init__(
+        self,
+        engine: EngineResource,
+        request: web_server.Request,
+        path: str,
+        body: dict[str, Any],
+        prompt: str,
+    ) -> None:
+        self._engine = engine
+        self._request = request
+        self._chat = path.endswith('/chat/completions')
+        self._prompt = prompt
+        wanted = body.get('max_tokens') or body.get('max_completion_tokens')
+        self._tokens = int(wanted or DEFAULT_TOKENS)
+        resume = request.getHeader(engines.RESUME_HEADER)
+        self._place = int(resume or 0)
+        self._open = True
+        self._id = request.getHeader(engines.REQUEST_ID_HEADER) or 'none'
+        request.notifyFinish().addErrback(self._close)
+        request.setHeader('content-type', 'text/event-stream')
+        request.setHeader(
+            engines.REQUEST_ID_HEADER, self._id.encode('ascii', 'ignore')
+        )
+
+    def emit(self) -> None:
+        if not self._open:
+            return
+        if self._place >= self._tokens:
+            self._end()
+            return
+        self._send(self._choice(make_word(self._prompt, self._place), None))
+        self._place += 1
+        self._engine.later(self._engine.pace(), self.emit)
+
+    def cut(self) -> None:
+        """Close the connection in mid-answer."""
+        self._open = False
+        channel: Any = self._request.channel
+        if channel is not None:
+            channel.transport.abortConnection()
+
+    def _close(self, _: Any) -> None:
+        self._open = False
+
+    def _end(self) -> None:
+        self._open = False
+        self._send(self._choice('', 'stop'))
+        prompt_tokens = count_tokens(self._prompt)
+        usage = {
+            'prompt_tokens': prompt_tokens,
+            'completion_tokens': self._tokens,
+            'total_tokens': prompt_tokens + self._tokens,
+        }
+        self._send({'choices': [], 'usage': usage})
+        self._request.write(b'data: [DONE]\n\n')
+        self._request.finish()
+
+    def _choice(self, text: str, reason: str | None) -> dict[str, Any]:
+        choice: dict[str, Any] = {'index': 0, 'finish_reason': reason}
+        if self._chat:
+            choice['delta'] = {'role': 'assistant', 'content': text}
+        else:
+            choice['text'] = text
+        return {'choices': [choice]}
+
+    def _send(self, part: dict[str, Any]) -> None:
+        kind = 'chat.completion.chunk' if self._chat else 'text_completion'
+        whole = {
+            'id': self._id,
+            'object': kind,
+            'created': 0,
+            'model': self._engine.state.model,
+            **part,
+        }
+        self._request.write(b'data: %s\n\n' % json.dumps(whole).encode())
--- /dev/null
+++ b/src/cairnloom/standins/fleet.py
@@ -0,0 +1,185 @@
+"""Stand-in of endpoint ordering: starts, stops and reclaims endpoints.
+
+Each endpoint listens on a port of its own in this process.
+"""
+
+import dataclasses
+from typing import Any
+
+from twisted.internet import defer
+from twisted.web import server as web_server
+
+from .. import settings
+from ..platform import services
+from ..protocol import codec
+from ..protocol import server
+
+from . import engine
+from . import service
+
+CRASH_SECONDS = 3.0
+
+
+@dataclasses.dataclass
+class _Running:
+    entry: services.EndpointEntry
+    resource: engine.EngineResource | service.ServiceResource
+    port: Any
+
+
+class Fleet:
+    """All endpoints that the platform runs."""
+
+    def __init__(self, clock: Any, chosen: settings.Standin) -> None:
+        self._clock = clock
+        self._settings = chosen
+        self._running: dict[str, _Running] = {}
+        self._started = 0
+        self._seen_orders: set[str] = set()
+        self.orders: list[services.PlatformOrder] = []
+        self.refuse_cheap = False
+        self.crashes = 0
+
+    def handlers(self) -> dict[str, server.Handler]:
+        """Return what to listen with."""
+        return {
+            '/ordering': self._list,
+            '/ordering/orders': self._order,
+        }
+
+    def start_all(self) -> None:
+        """Start the endpoints that the settings name."""
+        for item in self._settings.endpoints:
+            entry = services.EndpointEntry(
+                endpoint=item.endpoint,
+                address='',
+                kind='engine' if item.kind == 'engine' else 'service',
+                failure_domain=item.failure_domain,
+                model=item.model,
+                cheap=item.cheap,
+                checks_fence=item.checks_fence,
+            )
+            self._start(entry, item.port)
+
+    def resource(self, endpoint: str) -> Any:
+        """Return what stands behind an endpoint, for tests."""
+        return self._running[endpoint].resource
+
+    def names(self) -> list[str]:
+        """Return the endpoints that run."""
+        return list(self._running)
+
+    def reclaim(self, failure_domain: str) -> None:
+        """Take a domain's cheap endpoints away after a short notice."""
+        for running in self._running.values():
+            if running.entry.cheap:
+                if running.entry.failure_domain == failure_domain:
+                    self._take_away(running)
+
+    def crash(self, endpoint: str, back: bool = True) -> None:
+        """Break an endpoint off at once; it may come back by itself."""
+        running = self._running.get(endpoint)
+        if running is None or running.port is None:
+            return
+        self.crashes += 1
+        port = running.port.getHost().port
+        running.port.stopListening()
+        running.port = None
+        if isinstance(running.resource, engine.EngineResource):
+            running.resource.cut_all()
+        if back:
+            self._clock.callLater(
+                CRASH_SECONDS, self._come_back, running, port
+            )
+
+    def stop(self, endpoint: str) -> None:
+        """Remove an endpoint."""
+        running = self._running.pop(endpoint, None)
+        if running is None:
+            return
+        if running.port is not None:
+            running.port.stopListening()
+        if isinstance(running.resource, engine.EngineResource):
+            running.resource.cut_all()
+
+    def _take_away(self, running: _Running) -> None:
+        running.entry = dataclasses.replace(running.entry, state='leaving')
+        self._clock.callLater(
+            self._settings.reclaim_notice_seconds,
+            self.stop,
+            running.entry.endpoint,
+        )
+
+    def _come_back(self, running: _Running, port: int) -> None:
+        if running.entry.endpoint in self._running:
+            running.port = self._listen(running.resource, port)
+
+    def _start(self, entry: services.EndpointEntry, port: int) -> None:
+        made = self._make(entry)
+        listening = self._listen(made, port)
+        address = 'http://127.0.0.1:%d' % listening.getHost().port
+        entry = dataclasses.replace(entry, address=address)
+        self._running[entry.endpoint] = _Running(entry, made, listening)
+
+    def _listen(self, made: Any, port: int) -> Any:
+        site = web_server.Site(made, timeout=300)
+        return self._clock.listenTCP(port, site, interface='127.0.0.1')
+
+    def _make(self, entry: services.EndpointEntry) -> Any:
+        if entry.kind == 'service':
+            return service.ServiceResource(self._clock)
+        chosen = self._settings
+        state = engine.EngineState(
+            model=entry.model,
+            checks_fence=entry.checks_fence,
+            slots=chosen.engine_slots,
+            prefill_rate=chosen.prefill_tokens_per_second,
+            token_seconds=chosen.decode_seconds_per_token,
+            change_seconds=chosen.role_change_seconds,
+        )
+        return engine.EngineResource(
+            self._clock, state, lambda: self.crash(entry.endpoint)
+        )
+
+    async def _list(self, call: server.Call) -> server.Answer:
+        entries = [self._show(item) for item in self._running.values()]
+        return server.Answer(codec.encode(services.EndpointList(entries)))
+
+    def _show(self, running: _Running) -> services.EndpointEntry:
+        return running.entry
+
+    async def _order(self, call: server.Call) -> server.Answer:
+        order = codec.decode(services.PlatformOrder, call.body)  # type: ignore
+        self.orders.append(order)
+        if order.order_id in self._seen_orders:
+            return server.Answer()
+        match order:
+            case services.StartOrder(cheap=True) if self.refuse_cheap:
+                return server.refuse('no cheap capacity', 409)
+            case services.StartOrder():
+                self._order_start(order)
+            case services.StopOrder(endpoint=endpoint):
+                self.stop(endpoint)
+        self._seen_orders.add(order.order_id)
+        return server.Answer()
+
+    def _order_start(self, order: services.StartOrder) -> None:
+        self._started += 1
+        entry = services.EndpointEntry(
+            endpoint='ordered-%d' % self._started,
+            address='',
+            kind='engine',
+            failure_domain=order.failure_domain,
+            model=order.model,
+            cheap=order.cheap,
+            order_id=order.order_id,
+        )
+        self._clock.callLater(
+            self._settings.start_seconds, self._start, entry, 0
+        )
+
+    async def close(self) -> None:
+        """Close every port."""
+        for running in self._running.values():
+            if running.port is not None:
+                await defer.maybeDeferred(running.port.stopListening)
--- /dev/null
+++ b/src/cairnloom/standins/program.py
@@ -0,0 +1,157 @@
+"""Entry point of the stand-in: the platform and its endpoints, one process.
+
+Faults are put in over HTTP, under ``/faults``.
+"""
+
+import dataclasses
+from typing import Any
+
+from .. import settings
+from ..coordination import usage
+from ..platform import services
+from ..protocol import codec
+from ..protocol import server
+from ..runtime import admin
+from ..runtime import logs
+from ..runtime import programs
+
+from . import engine
+from . import fleet
+from . import store
+
+
+@dataclasses.dataclass(frozen=True)
+class Faults:
+    """What to break; what is left out stays as it is."""
+
+    table_down: bool | None = None
+    table_delay_seconds: float | None = None
+    lose_replies: int | None = None
+    refuse_cheap: bool | None = None
+    reclaim_domain: str | None = None
+    crash_endpoint: str | None = None
+    slow_endpoint: str | None = None
+    slowdown: float = 10.0
+    service_delay_seconds: float | None = None
+
+
+class Standin:
+    """Everything that stands outside the system."""
+
+    def __init__(self, reactor: Any, chosen: settings.Standin) -> None:
+        self._reactor = reactor
+        self._settings = chosen
+        self.store = store.StoreService(reactor)
+        self.fleet = fleet.Fleet(reactor, chosen)
+        self.hosts = {
+            host: services.HostEntry(host, str(address).rstrip('/'))
+            for host, address in chosen.hosts.items()
+        }
+        self.reports: list[usage.Report] = []
+        self._port: Any = None
+
+    async def start(self) -> None:
+        """Start every endpoint and listen."""
+        self.fleet.start_all()
+        handlers = {
+            **self.store.handlers(),
+            **self.fleet.handlers(),
+            '/hosts': self._hosts,
+            '/usage': self._usage,
+            '/faults': self._faults,
+            '/record': self._record,
+        }
+        self._port = server.listen(
+            self._reactor,
+            str(self._settings.listen.address),
+            self._settings.listen.port,
+            handlers,
+        )
+        logs.note('listening', platform=self._port.getHost().port)
+
+    async def stop(self) -> None:
+        """Close every port."""
+        await self.fleet.close()
+        await self._port.stopListening()
+
+    async def _hosts(self, call: server.Call) -> server.Answer:
+        if call.method == 'PUT':
+            entry = codec.decode(services.HostEntry, call.body)
+            self.hosts[entry.host] = entry
+            return server.Answer()
+        if call.method == 'DELETE':
+            self.hosts.pop(call.path.removeprefix('/hosts/'), None)
+            return server.Answer()
+        listed = services.HostList(list(self.hosts.values()))
+        return server.Answer(codec.encode(listed))
+
+    async def _usage(self, call: server.Call) -> server.Answer:
+        self.reports.append(codec.decode(usage.Report, call.body))
+        return server.Answer()
+
+    async def _faults(self, call: server.Call) -> server.Answer:
+        wanted = codec.decode(Faults, call.body)
+        self._break_store(wanted)
+        self._break_fleet(wanted)
+        return server.Answer()
+
+    def _break_store(self, wanted: Faults) -> None:
+        faults = self.store.faults
+        if wanted.table_down is not None:
+            faults.down = wanted.table_down
+        if wanted.table_delay_seconds is not None:
+            faults.delay_seconds = wanted.table_delay_seconds
+        if wanted.lose_replies is not None:
+            faults.lose_replies = wanted.lose_replies
+
+    def _break_fleet(self, wanted: Faults) -> None:
+        if wanted.refuse_cheap is not None:
+            self.fleet.refuse_cheap = wanted.refuse_cheap
+        if wanted.reclaim_domain is not None:
+            self.fleet.reclaim(wanted.reclaim_domain)
+        if wanted.crash_endpoint is not None:
+            self.fleet.crash(wanted.crash_endpoint)
+        if wanted.slow_endpoint is not None:
+            made = self.fleet.resource(wanted.slow_endpoint)
+            made.state.slowdown = wanted.slowdown
+        if wanted.service_delay_seconds is not None:
+            for made in self._services():
+                made.delay_seconds = wanted.service_delay_seconds
+
+    def _services(self) -> list[Any]:
+        made = [self.fleet.resource(name) for name in self.fleet.names()]
+        return [
+            item
+            for item in made
+            if not isinstance(item, engine.EngineResource)
+        ]
+
+    async def _record(self, call: server.Call) -> server.Answer:
+        """Show what reached the stand-ins, for tests and the demo."""
+        made = {name: self.fleet.resource(name) for name in self.fleet.names()}
+        engines = {
+            name: item
+            for name, item in made.items()
+            if isinstance(item, engine.EngineResource)
+        }
+        record = {
+            'orders': {name: item.orders for name, item in engines.items()},
+            'cut_by_order': sum(
+                item.cut_by_order for item in engines.values()
+            ),
+            'runs': [run for item in self._services() for run in item.runs],
+            'header_names': sorted(
+                set().union(*(item.header_names for item in made.values()))
+            ),
+            'platform_orders': self.fleet.orders,
+            'reports': self.reports,
+            'crashes': self.fleet.crashes,
+            'table_reads': self.store.table.reads,
+            'table_writes': self.store.table.writes,
+        }
+        return server.Answer(admin.to_json(record))
+
+
+def main() -> None:
+    """Run the program."""
+    programs.run('cairnloom-standin', settings.Standin, Standin)
--- /dev/null
+++ b/src/cairnloom/standins/service.py
@@ -0,0 +1,47 @@
+"""Stand-in of a plain service, such as pour orders or reminders.
+
+It keeps what it ran, so that a test can count how often each call ran.
+"""
+
+import json
+from typing import Any
+
+from twisted.web import resource
+from twisted.web import server as web_server
+
+
+class ServiceResource(resource.Resource):
+    """Run every call it gets, and remember it."""
+
+    isLeaf = True
+
+    def __init__(self, clock: Any) -> None:
+        super().__init__()
+        self.runs: list[str] = []
+        self.header_names: set[str] = set()
+        self.delay_seconds = 0.0
+        self._clock = clock
+
+    def render(self, request: web_server.Request) -> Any:
+        assert request.content is not None
+        if request.path == b'/load':
+            return b'{"model":"","slots":64}'
+        names = request.requestHeaders.getAllRawHeaders()
+        self.header_names.update(name.decode().lower() for name, _ in names)
+        body = request.content.read().decode(errors='replace')
+        self.runs.append(body)
+        answer = {
+            'ran': len(self.runs),
+            'method': request.method.decode(),
+            'path': request.uri.decode(errors='replace'),
+            'body': body,
+        }
+        request.setHeader('content-type', 'application/json')
+        self._clock.callLater(self.delay_seconds, _end, request, answer)
+        return web_server.NOT_DONE_YET
+
+
+def _end(request: web_server.Request, answer: dict[str, Any]) -> None:
+    if not getattr(request, '_disconnected', False):
+        request.write(json.dumps(answer).encode())
+        request.finish()
--- /dev/null
+++ b/src/cairnloom/standins/store.py
@@ -0,0 +1,142 @@
+"""Stand-in of the table service and the object store, with outages."""
+
+from typing import Any
+from urllib import parse
+
+from twisted.internet import task
+
+from ..coordination import rows
+from ..protocol import codec
+from ..protocol import server
+
+OUTAGE_STATUS = 503
+
+
+class TableStore:
+    """Rows in memory; every version is given once."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, rows.Row] = {}
+        self._version = 0
+        self.reads = 0
+        self.writes = 0
+
+    def read(self, key: str) -> rows.Row:
+        """Return a row, absent or not."""
+        self.reads += 1
+        return self._rows.get(key, rows.Row(key))
+
+    def scan(self, prefix: str, after: str) -> rows.Scan:
+        """Return the rows under a prefix, in key order."""
+        self.reads += 1
+        keys = sorted(
+            key for key in self._rows if key.startswith(prefix) and key > after
+        )
+        return rows.Scan([self._rows[key] for key in keys])
+
+    def commit(self, transaction: rows.Transaction) -> rows.Outcome:
+        """Carry out a transaction, or return what stands in its way."""
+        self.writes += len(transaction.writes)
+        expected: list[rows.Write | rows.Check] = []
+        expected += transaction.writes
+        expected += transaction.checks
+        conflicts = [
+            self._rows.get(item.key, rows.Row(item.key))
+            for item in expected
+            if self._version_of(item.key) != item.expected_version
+        ]
+        if conflicts:
+            return rows.Conflict(conflicts)
+        for write in transaction.writes:
+            self._write(write, transaction.write_id)
+        return rows.Committed(
+            {
+                item.key: self._version_of(item.key)
+                for item in transaction.writes
+            }
+        )
+
+    def _version_of(self, key: str) -> int:
+        row = self._rows.get(key)
+        return rows.ABSENT if row is None else row.version
+
+    def _write(self, write: rows.Write, write_id: str) -> None:
+        self._version += 1
+        if write.value is None:
+            self._rows.pop(write.key, None)
+            return
+        self._rows[write.key] = rows.Row(
+            write.key, self._version, write.value, write_id
+        )
+
+
+class StoreFaults:
+    """What is wrong with the store just now."""
+
+    def __init__(self) -> None:
+        self.down = False
+        self.delay_seconds = 0.0
+        self.lose_replies = 0
+
+    def loses_reply(self) -> bool:
+        """Tell whether the next write's reply is to be lost."""
+        if self.lose_replies <= 0:
+            return False
+        self.lose_replies -= 1
+        return True
+
+
+class StoreService:
+    """The table and the objects, spoken to over HTTP."""
+
+    def __init__(self, clock: Any) -> None:
+        self.table = TableStore()
+        self.faults = StoreFaults()
+        self._objects: dict[str, bytes] = {}
+        self._clock = clock
+
+    def handlers(self) -> dict[str, server.Handler]:
+        """Return what to listen with."""
+        return {
+            '/table/rows': self._rows,
+            '/table/transactions': self._transactions,
+            '/objects/': self._object,
+        }
+
+    async def _rows(self, call: server.Call) -> server.Answer:
+        await self._suffer()
+        if self.faults.down:
+            return server.refuse('down', OUTAGE_STATUS)
+        if 'prefix' in call.query:
+            found = self.table.scan(
+                call.query['prefix'], call.query.get('after', '')
+            )
+            return server.Answer(codec.encode(found))
+        key = parse.unquote(call.path.removeprefix('/table/rows/'))
+        return server.Answer(codec.encode(self.table.read(key)))
+
+    async def _transactions(self, call: server.Call) -> server.Answer:
+        await self._suffer()
+        if self.faults.down:
+            return server.refuse('down', OUTAGE_STATUS)
+        transaction = codec.decode(rows.Transaction, call.body)
+        outcome = self.table.commit(transaction)
+        if self.faults.loses_reply():
+            return server.Answer(b'', 200)
+        return server.Answer(codec.encode(outcome))
+
+    async def _object(self, call: server.Call) -> server.Answer:
+        await self._suffer()
+        if self.faults.down:
+            return server.refuse('down', OUTAGE_STATUS)
+        key = parse.unquote(call.path.removeprefix('/objects/'))
+        if call.method == 'PUT':
+            self._objects[key] = call.body
+            return server.Answer()
+        if key not in self._objects:
+            return server.refuse('no such object', 404)
+        return server.Answer(self._objects[key])
+
+    async def _suffer(self) -> None:
+        if self.faults.delay_seconds > 0:
+            await task.deferLater(self._clock, self.faults.delay_seconds)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,13 @@
+"""Settings of the test runs: the same verdict every time."""
+
+import pathlib
+import sys
+
+import hypothesis
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
+
+hypothesis.settings.register_profile(
+    'ci', derandomize=True, deadline=None, database=None, print_blob=False
+)
+hypothesis.settings.load_profile('ci')
