--- /dev/null
+++ b/src/cairnloom/controller/__init__.py
@@ -0,0 +1,1 @@
+"""The controller: roles, endpoint counts and compaction, under one lease."""
--- /dev/null
+++ b/src/cairnloom/controller/program.py
@@ -0,0 +1,85 @@
+"""Entry point of the controller: wiring only."""
+
+from typing import Any
+
+from .. import settings
+from ..protocol import server
+from ..runtime import admin
+from ..runtime import logs
+from ..runtime import programs
+
+from . import compaction
+from . import orders
+from . import plans
+from . import state
+
+KEEP_SECONDS = 0.25
+PLAN_SECONDS = 1.0
+ORDER_SECONDS = 0.25
+COMPACT_SECONDS = 1.0
+
+
+class Controller:
+    """All tasks of one controller; every entry host runs one."""
+
+    def __init__(self, reactor: Any, chosen: settings.Host) -> None:
+        self._reactor = reactor
+        self._settings = chosen
+        self.state = state.ControllerState(reactor, chosen)
+        self.orders = orders.Orders(self.state)
+        self.plans = plans.Plans(self.state, self.orders)
+        self._compaction = compaction.Compaction(self.state)
+        works = [
+            (KEEP_SECONDS, self.state.leadership.keep),
+            (PLAN_SECONDS, self.plans.round),
+            (ORDER_SECONDS, self.orders.round),
+            (COMPACT_SECONDS, self._compaction.round),
+        ]
+        self._loops = [
+            programs.Loop(reactor, seconds, work) for seconds, work in works
+        ]
+        self._port: Any = None
+
+    async def start(self) -> None:
+        """Listen and begin all tasks."""
+        listener = self._settings.controller_admin
+        handlers = admin.handlers(
+            self.state.health, self.state.metrics, self.dump
+        )
+        self._port = server.listen(
+            self._reactor, str(listener.address), listener.port, handlers
+        )
+        for loop in self._loops:
+            loop.start()
+        self.state.health.starting = False
+        logs.note('listening', admin=self._port.getHost().port)
+
+    async def stop(self) -> None:
+        """End all tasks and give up the lease."""
+        self.state.health.leaving = True
+        for loop in self._loops:
+            loop.stop()
+        await self.state.leadership.release()
+        await self._port.stopListening()
+        await self.state.http.close()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of this process."""
+        authority = self.state.leadership.authority()
+        return {
+            'program': 'cairnloom-controller',
+            'host': self._settings.host,
+            'fence': None if authority is None else authority.fence,
+            'version': self.state.replica.version,
+            'fleet': self.plans.fleet,
+            'mixes': self.plans.mixes,
+            'draining': sorted(self.orders.drains),
+            'intents': self.orders.journal.intents(),
+            'table_reads': self.state.table.reads,
+            'table_writes': self.state.table.writes,
+        }
+
+
+def main() -> None:
+    """Run the program."""
+    programs.run('cairnloom-controller', settings.Host, Controller)
--- a/src/cairnloom/coordination/usage.py
+++ b/src/cairnloom/coordination/usage.py
@@ -51,6 +51,13 @@
     teams: dict[str, Figures] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True)
+class Progress:
+    """Every window before this one has been reported."""
+
+    next_window: int
+
+
 @dataclasses.dataclass(frozen=True)
 class SendReport:
     """Send these figures; they stand in the table already."""
@@ -65,11 +72,7 @@
     window: int
 
 
-@dataclasses.dataclass(frozen=True)
-class Seal:
-    """Begin, or go on with, the report of a window."""
-
-    window: int
+PROGRESS_KEY = 'usage/progress'
 
 
 def window_key(window: int) -> str:
--- a/src/cairnloom/gateway/exchange.py
+++ b/src/cairnloom/gateway/exchange.py
@@ -161,7 +161,9 @@
         if theirs.version > self._state.replica.version:
             await self._fetch_deltas(address)
         self._state.freshness.note_peer(
-            freshness.PeerState(theirs.host, theirs.version, theirs.age),
+            freshness.PeerState(
+                theirs.host, theirs.version, theirs.age, theirs.vouches
+            ),
             sent_at,
             self._state.replica.version,
         )
--- a/src/cairnloom/gateway/state.py
+++ b/src/cairnloom/gateway/state.py
@@ -26,6 +26,8 @@
 from ..runtime import metrics
 from ..runtime import runner
 
+LARGEST_AGE_SECONDS = 1e9
+
 
 @dataclasses.dataclass
 class Offered:
@@ -78,7 +80,8 @@
             host=self.settings.host,
             incarnation=self.incarnation,
             version=self.replica.version,
-            age=min(self.freshness.age(now), 1e9),
+            age=min(self.freshness.age(now), LARGEST_AGE_SECONDS),
+            vouches=self.freshness.vouches(),
             members=self.members.message(),
             served=self.queue.message(),
             marks=self.quarantine.message(now),
@@ -111,7 +114,7 @@
     def _build_decisions(self) -> None:
         timing = self.settings.timing
         self.replica = configuration.Replica()
-        self.freshness = freshness.Freshness(timing.freshness)
+        self.freshness = freshness.Freshness(timing.freshness, self.now())
         self.view = views.View()
         self.router = choice.Router(self.view, self.random)
         self.queue = queues.FairQueue()
--- /dev/null
+++ b/src/cairnloom/planning/__init__.py
@@ -0,0 +1,1 @@
+"""Which role each engine has, and how many endpoints there are."""
--- a/src/cairnloom/protocol/messages.py
+++ b/src/cairnloom/protocol/messages.py
@@ -16,13 +16,14 @@
     """What two gateways tell each other in a round, both ways.
 
     ``age`` is the time in seconds since the sender last knew its version to
-    be the newest.
+    be the newest; ``vouches`` tells that it has not started again since.
     """
 
     host: str
     incarnation: int
     version: int
     age: float
+    vouches: bool
     members: list[membership.Member]
     served: list[queues.Served]
     marks: list[quarantine.Mark]
--- /dev/null
+++ b/src/cairnloom/reporter/__init__.py
@@ -0,0 +1,1 @@
+"""The reporter: seals usage windows and sends their figures, once."""
--- /dev/null
+++ b/src/cairnloom/reporter/program.py
@@ -0,0 +1,171 @@
+"""Entry point of the reporter: wiring and one task."""
+
+import time
+from typing import Any
+
+from .. import exceptions
+from .. import settings
+from ..coordination import actions
+from ..coordination import events
+from ..coordination import rows
+from ..coordination import usage
+from ..platform import services
+from ..platform import tables
+from ..protocol import client
+from ..protocol import codec
+from ..protocol import server
+from ..runtime import admin
+from ..runtime import leadership
+from ..runtime import logs
+from ..runtime import metrics
+from ..runtime import programs
+from ..runtime import runner
+
+KEEP_SECONDS = 0.25
+REPORT_SECONDS = 0.5
+WINDOWS_PER_ROUND = 8
+
+
+class Reporter:
+    """All tasks of one reporter; every entry host runs one."""
+
+    def __init__(self, reactor: Any, chosen: settings.Host) -> None:
+        self._reactor = reactor
+        self._settings = chosen
+        self._owner = '%s.reporter.%d' % (
+            chosen.host,
+            int(time.time() * 1000),
+        )
+        self.health = admin.Health()
+        self.metrics = metrics.Metrics()
+        self._http = client.HttpClient(reactor)
+        platform = chosen.platform
+        self._table = tables.Table(self._http, str(platform.table))
+        self._intake = services.Usage(self._http, str(platform.usage))
+        self._runner = runner.Runner(self._table, reactor)
+        self._leadership = leadership.Leadership(
+            leadership.make_keeper(chosen, 'usage', self._owner),
+            self._runner,
+            reactor,
+            self.metrics,
+        )
+        self._next_window: int | None = None
+        self._loops = [
+            programs.Loop(reactor, KEEP_SECONDS, self._leadership.keep),
+            programs.Loop(reactor, REPORT_SECONDS, self._report_due),
+        ]
+        self._port: Any = None
+
+    async def start(self) -> None:
+        """Listen and begin all tasks."""
+        listener = self._settings.reporter_admin
+        handlers = admin.handlers(self.health, self.metrics, self.dump)
+        self._port = server.listen(
+            self._reactor, str(listener.address), listener.port, handlers
+        )
+        for loop in self._loops:
+            loop.start()
+        self.health.starting = False
+        logs.note('listening', admin=self._port.getHost().port)
+
+    async def stop(self) -> None:
+        """End all tasks and give up the lease."""
+        self.health.leaving = True
+        for loop in self._loops:
+            loop.stop()
+        await self._leadership.release()
+        await self._port.stopListening()
+        await self._http.close()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of this process."""
+        authority = self._leadership.authority()
+        return {
+            'program': 'cairnloom-reporter',
+            'host': self._settings.host,
+            'fence': None if authority is None else authority.fence,
+            'next_window': self._next_window,
+            'reported': self.metrics.value('windows_reported'),
+            'table_reads': self._table.reads,
+            'table_writes': self._table.writes,
+        }
+
+    async def _report_due(self) -> None:
+        if self._leadership.authority() is None:
+            self._next_window = None
+            return
+        if self._next_window is None:
+            self._next_window = await self._find_first()
+        for _ in range(WINDOWS_PER_ROUND):
+            if self._next_window is None or not self._is_due():
+                return
+            if not await self._report(self._next_window):
+                return
+            self._next_window += 1
+            await self._note_progress(self._next_window)
+
+    def _is_due(self) -> bool:
+        assert self._next_window is not None
+        timing = self._settings.timing
+        ended_at = (self._next_window + 1) * timing.usage_window
+        return time.time() >= ended_at + timing.seal_grace
+
+    async def _find_first(self) -> int | None:
+        event = await self._runner.perform(actions.Read(usage.PROGRESS_KEY))
+        if not isinstance(event, events.ReadDone):
+            return None
+        if event.row.value is not None:
+            progress = codec.decode_value(usage.Progress, event.row.value)
+            return progress.next_window
+        return int(time.time() / self._settings.timing.usage_window)
+
+    async def _report(self, window: int) -> bool:
+        sealer = usage.WindowSealer(self._owner, window)
+        waiting: list[Any] = sealer.start()
+
+        def step(event: Any) -> list[Any]:
+            return list(sealer.step(event, self._leadership.authority()))
+
+        while waiting and not sealer.done:
+            others = await self._runner.drive(waiting, step)
+            waiting = []
+            for action in others:
+                if await self._send(action):
+                    waiting = step(usage.Reported(window))
+        if sealer.done:
+            self.metrics.count('windows_reported')
+        return sealer.done
+
+    async def _send(self, action: usage.SendReport) -> bool:
+        if self._leadership.authority() is None:
+            return False
+        try:
+            await self._intake.send(action.report)
+        except exceptions.PlatformError as fault:
+            logs.note('report_failed', reason=str(fault))
+            return False
+        logs.note(
+            'reported',
+            window=action.report.window,
+            teams=len(action.report.teams),
+        )
+        return True
+
+    async def _note_progress(self, next_window: int) -> None:
+        authority = self._leadership.authority()
+        event = await self._runner.perform(actions.Read(usage.PROGRESS_KEY))
+        if authority is None or not isinstance(event, events.ReadDone):
+            return
+        value = codec.encode_value(usage.Progress(next_window))
+        write = rows.Write(usage.PROGRESS_KEY, value, event.row.version)
+        write_id = '%s/p%d' % (self._owner, next_window)
+        await self._runner.perform(
+            actions.Commit(
+                rows.Transaction(write_id, [write], [authority.check])
+            )
+        )
+
+
+def main() -> None:
+    """Run the program."""
+    programs.run('cairnloom-reporter', settings.Host, Reporter)
--- /dev/null
+++ b/src/cairnloom/runtime/leadership.py
@@ -0,0 +1,67 @@
+"""The task that keeps a lease, for programs that act for the deployment."""
+
+from typing import Any
+
+from .. import settings
+from ..coordination import events
+from ..coordination import leases
+from . import logs
+from . import metrics
+from . import runner
+
+
+def make_keeper(
+    chosen: settings.Host, scope: str, owner: str
+) -> leases.LeaseKeeper:
+    """Build the keeper of one of the deployment's leases."""
+    timing = chosen.timing
+    return leases.LeaseKeeper(
+        leases.LeaseSettings(
+            scope='%s.%s' % (chosen.deployment, scope),
+            holder=owner,
+            term=timing.lease_term,
+            margin=timing.lease_margin,
+        )
+    )
+
+
+class Leadership:
+    """Own one lease keeper and carry out what it asks."""
+
+    def __init__(
+        self,
+        keeper: leases.LeaseKeeper,
+        table: runner.Runner,
+        clock: Any,
+        counted: metrics.Metrics,
+    ) -> None:
+        self._keeper = keeper
+        self._runner = table
+        self._clock = clock
+        self._metrics = counted
+        self._fence = 0
+
+    def authority(self) -> leases.Authority | None:
+        """Return the proof of the lease, if it is surely held now."""
+        return self._keeper.authority(self._clock.seconds())
+
+    async def keep(self) -> None:
+        """Take, renew or watch the lease; call it often."""
+        await self._drive(self._step(events.Tick()))
+        authority = self.authority()
+        fence = 0 if authority is None else authority.fence
+        if fence != self._fence:
+            logs.note('lease', fence=fence, held=fence > 0)
+            self._metrics.count('lease_changes')
+        self._fence = fence
+        self._metrics.gauge('lease_fence', fence)
+
+    async def release(self) -> None:
+        """Give the lease up, so that a successor need not wait."""
+        await self._drive(self._keeper.release(self._clock.seconds()))
+
+    async def _drive(self, actions: list[Any]) -> None:
+        await self._runner.drive(actions, self._step)
+
+    def _step(self, event: Any) -> list[Any]:
+        return list(self._keeper.step(event, self._clock.seconds()))
