Vouch for a configuration only after a proof that is later than the start

A machine of five gateways found that a restarted process could vouch for a version older than one it had acknowledged before it was killed: its proof and its start fell on the same instant. The proof must now be later.

--- a/src/cairnloom/coordination/freshness.py
+++ b/src/cairnloom/coordination/freshness.py
@@ -85,7 +85,7 @@
 
     def vouches(self) -> bool:
         """Tell whether this process has forgotten nothing it acknowledged."""
-        return self._proved_at >= self._started_at
+        return self._proved_at > self._started_at
 
     def may_serve(self, now: float, held: int, size: int) -> bool:
         """Decide, where ``size`` is the number of hosts there may be."""
--- a/tests/machines.py
+++ b/tests/machines.py
@@ -43,13 +43,17 @@
 class WorldMachine(stateful.RuleBasedStateMachine):
     """Time, lost and late calls, kills, freezes and outages.
 
-    A subclass fills ``self.processes`` and says how to start one.
+    A subclass says how to start a process, and how many there are.
     """
 
+    process_count = 3
+
     def __init__(self):
         super().__init__()
         self.world = world.World()
-        self.processes = [self.start_process(at) for at in range(3)]
+        self.processes = [
+            self.start_process(at) for at in range(self.process_count)
+        ]
 
     def start_process(self, at):
         raise NotImplementedError
