Test usage windows under kills, freezes, lost and late calls

Two gateways and two reporters; in the end every figure of a surviving gateway has been reported once. Caught: moving on after an unknown write, writing into a sealed window, adding up before sealing.

--- /dev/null
+++ b/tests/test_usage.py
@@ -0,0 +1,238 @@
+"""Usage windows under kills, freezes, lost and late calls.
+
+The oracle: a window is reported with one set of figures only; nobody is
+billed more than was used; and in the end all that a surviving gateway
+recorded, and all that a killed one had written, has been reported once.
+"""
+
+import itertools
+
+from hypothesis import stateful
+import machines
+import pytest
+import world
+
+from cairnloom.coordination import events
+from cairnloom.coordination import leases
+from cairnloom.coordination import usage
+
+LAST_WINDOW = 40
+
+
+class ResendingBook(usage.UsageBook):
+    """A careless part: moves on without looking what became of a write."""
+
+    def _reread(self, write_id):
+        return self._take_failure(write_id)
+
+
+class UncheckedBook(usage.UsageBook):
+    """A careless part: writes whether the window is open or not."""
+
+    def _write(self, window):
+        commit = super()._write(window)
+        commit.transaction.checks.clear()
+        return commit
+
+
+class UnsealedSealer(usage.WindowSealer):
+    """A careless part: adds up the parts while the window is open."""
+
+    def _go_on(self, authority):
+        if self._row.version == 0:
+            return [usage.actions.Scan(usage.part_prefix(self.window))]
+        return super()._go_on(authority)
+
+
+class Gateway(world.Process):
+    """A process that records usage under a team of its own."""
+
+    def __init__(self, machine, name):
+        super().__init__(machine.world)
+        self.machine = machine
+        self.name = name
+        self.book = machine.book_class(name)
+        self.recorded = 0
+        self.killed = False
+
+    def record(self, tokens, window):
+        self.recorded += tokens
+        self.book.record(self.name, usage.Figures(0, tokens, 1), window)
+
+    def tick(self):
+        self.outbox.extend(self.book.flush())
+
+    def take(self, event):
+        return self.book.step(event)
+
+
+class Reporter(world.Process):
+    """A process with the reporters' lease and one window in hand."""
+
+    def __init__(self, machine, name):
+        super().__init__(machine.world)
+        self.machine = machine
+        self.name = name
+        self.keeper = leases.LeaseKeeper(
+            leases.LeaseSettings('usage', name, 3.0, 0.5)
+        )
+        self.sealer = None
+
+    def authority(self):
+        return self.keeper.authority(self.world.now)
+
+    def tick(self):
+        self.outbox.extend(self.keeper.step(events.Tick(), self.world.now))
+        if self.authority() is not None:
+            self.seal()
+
+    def seal(self):
+        window = self.machine.due()
+        if window is None:
+            return
+        if self.sealer is None or self.sealer.window != window:
+            self.sealer = self.machine.sealer_class(self.name, window)
+        self.outbox.extend(self.sealer.start())
+
+    def take(self, event):
+        if is_lease(event):
+            return self.keeper.step(event, self.world.now)
+        if self.sealer is None:
+            return []
+        return self.sealer.step(event, self.authority())
+
+    def carry_out(self, action):
+        report = action.report
+        known = self.machine.reports.setdefault(report.window, report.teams)
+        assert known == report.teams, 'one window, two sets of figures'
+        self.inbox.append(usage.Reported(report.window))
+        self.drain_inbox()
+
+
+def is_lease(event):
+    match event:
+        case events.ReadDone(row=row):
+            return row.key.startswith('leases/')
+        case events.ReadFailed(key=key):
+            return key.startswith('leases/')
+    return '@' in getattr(event, 'write_id', '')
+
+
+class UsageMachine(machines.WorldMachine):
+    """Two gateways and two reporters."""
+
+    process_count = 4
+    book_class = usage.UsageBook
+    sealer_class = usage.WindowSealer
+
+    def __init__(self):
+        self.names = itertools.count(1)
+        self.reports = {}
+        self.window = 0
+        self.killed = []
+        super().__init__()
+
+    def start_process(self, at):
+        name = 'p%d.%d' % (at, next(self.names))
+        if at < 2:
+            return Gateway(self, name)
+        return Reporter(self, name)
+
+    def due(self):
+        """Return the first window that is over and not yet reported."""
+        for window in range(self.window):
+            row = self.world.table.read(usage.window_key(window))
+            state = row.value['state'] if row.value else ''
+            if state != 'reported':
+                return window
+        return None
+
+    @stateful.rule(number=machines.INDEX, tokens=machines.st.integers(1, 9))
+    def record(self, number, tokens):
+        process = self.processes[number % 2]
+        if not process.frozen:
+            process.record(tokens, self.window)
+
+    @stateful.rule()
+    def next_window(self):
+        self.window += 1
+        self.world.now += 1.0
+
+    @stateful.rule(number=machines.INDEX)
+    def report_well(self, number):
+        """Run one reporter alone until it holds the lease and has sent."""
+        process = self.processes[2 + number % 2]
+        process.frozen = False
+        process.drain_inbox()
+        for _ in range(4):
+            process.tick()
+            self.world.settle(process)
+            self.world.now += 1.3
+
+    @stateful.rule(number=machines.INDEX, arrived=machines.st.booleans())
+    def flush_and_lose_reply(self, number, arrived):
+        process = self.processes[number % 2]
+        if process.frozen:
+            return
+        process.tick()
+        self.world.send(process)
+        for flight in list(self.world.flights):
+            if flight.process is process:
+                if arrived:
+                    self.world.arrive(flight)
+                self.world.time_out(flight, late=not arrived)
+
+    @stateful.rule(number=machines.INDEX)
+    def kill_and_restart(self, number):
+        at = number % len(self.processes)
+        self.killed.append(self.processes[at])
+        super().kill_and_restart(number)
+
+    def teardown(self):
+        self.world.down = False
+        for process in self.processes:
+            process.frozen = False
+            process.drain_inbox()
+        for flight in list(self.world.flights):
+            self.world.time_out(flight)
+        for _ in range(LAST_WINDOW):
+            self.window += 1
+            for process in self.processes[:2]:
+                for _ in range(3):
+                    process.tick()
+                    self.world.settle(process)
+            self.report_well(0)
+        self.check_totals()
+
+    def check_totals(self):
+        billed = {}
+        for teams in self.reports.values():
+            usage.merge(billed, teams)
+        for process in self.processes[:2]:
+            found = billed.get(process.name, usage.Figures())
+            assert found.decode_tokens == process.recorded, 'wrong bill'
+        for process in self.killed:
+            if isinstance(process, Gateway):
+                found = billed.get(process.name, usage.Figures())
+                assert found.decode_tokens <= process.recorded, 'overbilled'
+
+
+def make(book=usage.UsageBook, sealer=usage.WindowSealer):
+    return type(
+        'Machine',
+        (UsageMachine,),
+        {'book_class': book, 'sealer_class': sealer},
+    )
+
+
+def test_usage_is_reported_once():
+    machines.run(make(), examples=150)
+
+
+@pytest.mark.parametrize('book', [ResendingBook, UncheckedBook])
+def test_careless_books_are_caught(book):
+    machines.catch(make(book))
+
+
+def test_careless_sealer_is_caught():
+    machines.catch(make(sealer=UnsealedSealer))
