--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -158,17 +158,28 @@
         self.window += 1
         self.world.now += 1.0
 
-    @stateful.rule(number=machines.INDEX)
-    def report_well(self, number):
-        """Run one reporter alone until it holds the lease and has sent."""
+    @stateful.rule(number=machines.INDEX, busy=machines.st.booleans())
+    def report_well(self, number, busy):
+        """Run one reporter alone until it holds the lease and has sent.
+
+        When busy, a gateway writes between any two of its calls.
+        """
         process = self.processes[2 + number % 2]
         process.frozen = False
         process.drain_inbox()
         for _ in range(4):
             process.tick()
-            self.world.settle(process)
+            for _ in range(12):
+                self.world.settle(process, rounds=1)
+                if busy:
+                    self.flush(self.processes[number % 2])
             self.world.now += 1.3
 
+    def flush(self, gateway):
+        if not gateway.frozen:
+            gateway.tick()
+            self.world.settle(gateway)
+
     @stateful.rule(number=machines.INDEX, arrived=machines.st.booleans())
     def flush_and_lose_reply(self, number, arrived):
         process = self.processes[number % 2]
@@ -201,7 +212,7 @@
                 for _ in range(3):
                     process.tick()
                     self.world.settle(process)
-            self.report_well(0)
+            self.report_well(0, False)
         self.check_totals()
 
     def check_totals(self):
