--- a/src/cairnloom/gateway/dispatch.py
+++ b/src/cairnloom/gateway/dispatch.py
@@ -17,7 +17,9 @@
 from ..endpoints import engines
 from ..protocol import client
 
-HEAD_TIMEOUT_SECONDS = 30.0
+LONGEST_HEAD_SECONDS = 30.0
+SHORTEST_HEAD_SECONDS = 2.0
+TARGETS_PER_HEAD = 4.0
 IDLE_TIMEOUT_SECONDS = 15.0
 LARGEST_EVENT_BYTES = 1024 * 1024
 DATA = b'data:'
@@ -34,6 +36,13 @@
     body: bytes
     resume_at: int
     fresh: bool
+    head_timeout: float
+
+
+def head_timeout(first_token_seconds: float) -> float:
+    """Return how long to wait for an engine that does not answer at all."""
+    wanted = TARGETS_PER_HEAD * first_token_seconds
+    return min(LONGEST_HEAD_SECONDS, max(SHORTEST_HEAD_SECONDS, wanted))
 
 
 class _EventSink:
@@ -165,7 +174,7 @@
                 attempt.url,
                 attempt.body,
                 headers,
-                HEAD_TIMEOUT_SECONDS,
+                attempt.head_timeout,
                 attempt.fresh,
             )
         except exceptions.TransportError as fault:
--- a/src/cairnloom/gateway/requests.py
+++ b/src/cairnloom/gateway/requests.py
@@ -205,6 +205,9 @@
             body=answers.engine_body(self._prompt),
             resume_at=self._answer.tokens,
             fresh=self._claim is not None,
+            head_timeout=dispatch.head_timeout(
+                self._target.first_token_seconds
+            ),
         )
         try:
             await stream.run(attempt, lambda part: self._take(part, chosen))
--- a/src/cairnloom/standins/engine.py
+++ b/src/cairnloom/standins/engine.py
@@ -43,6 +43,7 @@
     order_id: str = ''
     prefill_free_at: float = 0.0
     slowdown: float = 1.0
+    down: bool = False
 
 
 class EngineResource(resource.Resource):
@@ -61,6 +62,9 @@
         self._streams: set[_Stream] = set()
 
     def render(self, request: web_server.Request) -> Any:
+        if self.state.down:
+            _abort(request)
+            return web_server.NOT_DONE_YET
         path = request.path.decode()
         if path == '/load':
             return codec.encode(self._report())
@@ -128,6 +132,7 @@
         prompt = json.dumps(body.get('messages') or body.get('prompt'))
         if CRASH_MARK in prompt:
             self._crash()
+            _abort(request)
             return web_server.NOT_DONE_YET
         stream = _Stream(self, request, path, body, prompt)
         self._streams.add(stream)
@@ -173,6 +178,12 @@
     return words[digest[0] % len(words)] + ' '
 
 
+def _abort(request: web_server.Request) -> None:
+    channel: Any = request.channel
+    if channel is not None:
+        channel.transport.abortConnection()
+
+
 class _Stream:
     """One answer on its way."""
 
@@ -213,9 +224,7 @@
     def cut(self) -> None:
         """Close the connection in mid-answer."""
         self._open = False
-        channel: Any = self._request.channel
-        if channel is not None:
-            channel.transport.abortConnection()
+        _abort(self._request)
 
     def _close(self, _: Any) -> None:
         self._open = False
--- a/src/cairnloom/standins/fleet.py
+++ b/src/cairnloom/standins/fleet.py
@@ -86,6 +86,7 @@
         running.port.stopListening()
         running.port = None
         if isinstance(running.resource, engine.EngineResource):
+            running.resource.state.down = True
             running.resource.cut_all()
         if back:
             self._clock.callLater(
@@ -113,6 +114,8 @@
     def _come_back(self, running: _Running, port: int) -> None:
         if running.entry.endpoint in self._running:
             running.port = self._listen(running.resource, port)
+            if isinstance(running.resource, engine.EngineResource):
+                running.resource.state.down = False
 
     def _start(self, entry: services.EndpointEntry, port: int) -> None:
         made = self._make(entry)
