--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,9 @@
 
 clean:
 	rm -rf $(VENV) run
+
+run: setup
+	@scripts/run.sh casablanca
+
+demo: setup
+	@scripts/run.sh casablanca $(BIN)/python scripts/demo.py
--- a/scripts/make_examples.py
+++ b/scripts/make_examples.py
@@ -32,6 +32,7 @@
             name: listener(base + port + number)
             for name, port in ADMIN_PORTS.items()
         },
+        'timing': {'usage_window': 5.0, 'seal_grace': 2.0},
         'platform': {name: '%s/%s' % (platform, name) for name in services},
     }
 
--- a/src/cairnloom/gateway/changes.py
+++ b/src/cairnloom/gateway/changes.py
@@ -1,8 +1,11 @@
 """Operators' changes: accepted through the table, then passed to peers."""
 
 from .. import exceptions
+from ..coordination import actions
 from ..coordination import configuration
+from ..coordination import events
 from ..coordination import freshness
+from ..coordination import leases
 from ..protocol import codec
 from ..protocol import messages
 from ..protocol import server
@@ -23,7 +26,22 @@
 
     def handlers(self) -> dict[str, server.Handler]:
         """Return what the operator's program calls."""
-        return {'/configuration': self._handle}
+        return {'/configuration': self._handle, '/leases': self._show_leases}
+
+    async def _show_leases(self, call: server.Call) -> server.Answer:
+        event = await self._state.runner.perform(
+            actions.Scan(leases.lease_key(''))
+        )
+        if not isinstance(event, events.ScanDone):
+            return server.refuse('the table did not answer', 503)
+        return server.Answer(
+            codec.encode(
+                [
+                    codec.decode_value(leases.LeaseRow, row.value)
+                    for row in event.rows
+                ]
+            )
+        )
 
     async def _handle(self, call: server.Call) -> server.Answer:
         if call.method == 'POST':
--- a/src/cairnloom/operator/program.py
+++ b/src/cairnloom/operator/program.py
@@ -184,6 +184,8 @@
 
 async def _status(session: Session) -> int:
     state = json.loads(await session.call('GET', '/state'))
+    if state['program'] == 'cairnloom-gateway':
+        state['leases'] = await _leases(session)
     if _OUTPUT.value == 'json':
         print(json.dumps(state))
     elif state['program'] == 'cairnloom-gateway':
@@ -193,6 +195,14 @@
     return 0
 
 
+async def _leases(session: Session) -> list[Any]:
+    try:
+        return json.loads(await session.call('GET', '/leases'))
+    except exceptions.OperatorError:
+        # Everything else can be shown while the table is down.
+        return []
+
+
 async def _apply(path: str, session: Session) -> int:
     try:
         data = pathlib.Path(path).read_bytes()
--- a/src/cairnloom/operator/views.py
+++ b/src/cairnloom/operator/views.py
@@ -33,6 +33,7 @@
         ),
         _classes(state['classes']),
         _endpoints(state['endpoints']),
+        _leases(state['leases']),
         'teams: %s' % (', '.join(state['teams']) or 'none'),
     ]
     return '\n\n'.join(parts)
@@ -71,6 +72,17 @@
     return table(heads, lines)
 
 
+def _leases(leases: list[dict[str, Any]]) -> str:
+    if not leases:
+        return 'leases: not known, the table did not answer'
+    heads = ['lease holder', 'fence', 'released']
+    lines = [
+        [item['holder'], item['fence'], 'yes' if item['released'] else 'no']
+        for item in leases
+    ]
+    return table(heads, lines)
+
+
 def _endpoint_state(item: dict[str, Any]) -> str:
     if item['ejected']:
         return 'ejected'
--- a/src/cairnloom/runtime/admin.py
+++ b/src/cairnloom/runtime/admin.py
@@ -8,6 +8,7 @@
 from ..protocol import server
 
 from . import metrics
+from . import programs
 
 
 class Health:
@@ -46,7 +47,14 @@
     async def show_state(call: server.Call) -> server.Answer:
         return server.Answer(to_json(dump()))
 
+    async def leave(call: server.Call) -> server.Answer:
+        if call.method != 'POST':
+            return server.refuse('only POST is allowed here', 405)
+        programs.request_stop()
+        return server.Answer()
+
     return {
+        '/leave': leave,
         '/health': show_health,
         '/metrics': show_metrics,
         '/state': show_state,
--- a/src/cairnloom/runtime/programs.py
+++ b/src/cairnloom/runtime/programs.py
@@ -104,6 +104,11 @@
     sys.exit(status[0] if status else 0)
 
 
+def request_stop() -> None:
+    """Begin the graceful end of this process, as SIGTERM does."""
+    signal.raise_signal(signal.SIGTERM)
+
+
 def _run_then_leave(ending: Awaitable[None]) -> None:
     done: Any = defer.ensureDeferred(ending)  # type: ignore[arg-type]
     done.addErrback(
