--- /dev/null
+++ b/bench/measures.py
@@ -0,0 +1,21 @@
+"""What the system is asked of processes: processor time and memory."""
+
+import os
+import pathlib
+
+TICKS = os.sysconf('SC_CLK_TCK')
+
+
+def cpu_seconds(pid):
+    """Return the processor time that a process has used."""
+    text = pathlib.Path('/proc/%d/stat' % pid).read_text()
+    fields = text.rsplit(')', 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def memory_mb(pid):
+    """Return the resident memory of a process, in megabytes."""
+    for line in pathlib.Path('/proc/%d/status' % pid).read_text().splitlines():
+        if line.startswith('VmRSS'):
+            return int(line.split()[1]) / 1024.0
+    return 0.0
--- a/src/cairnloom/gateway/program.py
+++ b/src/cairnloom/gateway/program.py
@@ -191,6 +191,8 @@
             ],
             'served': self.state.queue.message(),
             'unwritten_windows': self.state.book.unwritten(),
+            'exchanges': self.state.http.exchanges,
+            'exchanged_bytes': self.state.http.exchanged_bytes,
             'table_reads': self.state.table.reads,
             'table_writes': self.state.table.writes,
         }
--- a/src/cairnloom/protocol/client.py
+++ b/src/cairnloom/protocol/client.py
@@ -152,6 +152,8 @@
     """Send requests to other processes over kept or fresh connections."""
 
     def __init__(self, reactor: Any) -> None:
+        self.exchanges = 0
+        self.exchanged_bytes = 0
         self._reactor = reactor
         self._pool = client.HTTPConnectionPool(reactor, persistent=True)
         self._pool.retryAutomatically = False
@@ -224,6 +226,8 @@
         except defer.TimeoutError as fault:
             reply.cancel()
             raise exceptions.TransportError('body too slow', True) from fault
+        self.exchanges += 1
+        self.exchanged_bytes += len(body) + len(content)
         return Reply(reply.status, content)
 
     async def close(self) -> None:
