--- a/bench/load.py
+++ b/bench/load.py
@@ -4,6 +4,7 @@
 import json
 import time
 
+import orjson
 from twisted.internet import defer
 from twisted.internet import task
 from twisted.web import http_headers
@@ -49,17 +50,21 @@
     def _take_line(self, line, now):
         if line.startswith(END):
             self._answer.whole = True
-        elif line.startswith(DATA) and b'"content": "' in line:
-            if b'"content": ""' in line:
-                return
-            self._answer.tokens += 1
-            if self._last:
-                self._answer.gaps.append(now - self._last)
-            else:
-                self._answer.first_token = now - self._answer.began
-            self._last = now
-        elif line.startswith(DATA) and b'"error"' in line:
-            self._answer.error = line.decode()
+        elif line.startswith(DATA):
+            self._take_event(orjson.loads(line[len(DATA) :]), now)
+
+    def _take_event(self, event, now):
+        if 'error' in event:
+            self._answer.error = event['error']['message']
+        choices = event.get('choices')
+        if not choices or not choices[0]['delta'].get('content'):
+            return
+        self._answer.tokens += 1
+        if self._last:
+            self._answer.gaps.append(now - self._last)
+        else:
+            self._answer.first_token = now - self._answer.began
+        self._last = now
 
     def finish(self, whole):
         if not self.done.called:
--- a/src/cairnloom/gateway/admission.py
+++ b/src/cairnloom/gateway/admission.py
@@ -14,6 +14,7 @@
 
 RATE_WEIGHT = 0.3
 SMALLEST_RETRY_SECONDS = 1.0
+PUMP_SECONDS = 0.02
 
 
 @dataclasses.dataclass(frozen=True)
@@ -60,6 +61,7 @@
         self._state = shared
         self._waiters: dict[str, _Waiter] = {}
         self._rates: dict[str, _Rate] = {}
+        self._pumping = False
 
     def check_limit(
         self, life: lives.Life, tokens: float
@@ -112,6 +114,17 @@
             self._settle(item.request_id, None)
         while self._start_one(now):
             pass
+        self._pump_later()
+
+    def _pump_later(self) -> None:
+        if self._pumping or not len(self._state.queue):
+            return
+        self._pumping = True
+        self._state.reactor.callLater(PUMP_SECONDS, self._pump_again)
+
+    def _pump_again(self) -> None:
+        self._pumping = False
+        self.pump()
 
     def _start_one(self, now: float) -> bool:
         for item in self._state.queue.heads():
--- a/src/cairnloom/gateway/answers.py
+++ b/src/cairnloom/gateway/answers.py
@@ -3,10 +3,10 @@
 """
 
 import dataclasses
-import json
 import time
 from typing import Any
 
+import orjson
 import pydantic
 
 from .. import exceptions
@@ -44,8 +44,8 @@
     def prompt_text(self) -> str:
         """Return the prompt as text, to count tokens and find prefixes."""
         if self.messages is not None:
-            return json.dumps(self.messages)
-        return json.dumps(self.prompt)
+            return orjson.dumps(self.messages).decode()
+        return orjson.dumps(self.prompt).decode()
 
     def output_bound(self) -> int | None:
         """Return the most tokens that the caller wants."""
@@ -85,7 +85,7 @@
     wanted = prompt.body.model_dump(exclude_none=True)
     wanted['stream'] = True
     wanted['stream_options'] = {'include_usage': True}
-    return json.dumps(wanted).encode()
+    return orjson.dumps(wanted)
 
 
 @dataclasses.dataclass
@@ -156,7 +156,7 @@
         body = self._head(kind)
         body['choices'] = [choice]
         body['usage'] = self.usage()
-        return json.dumps(body).encode()
+        return orjson.dumps(body)
 
     def _text(self, choice: dict[str, Any]) -> str:
         if self.prompt.chat:
@@ -183,10 +183,10 @@
         body['choices'] = choices
         if usage is not None:
             body['usage'] = usage
-        return DATA + json.dumps(body).encode() + b'\n\n'
+        return DATA + orjson.dumps(body) + b'\n\n'
 
 
 def error_event(message: str, run_state: str) -> bytes:
     """Return an event that no client takes for the end of an answer."""
     body = {'error': {'message': message, 'run_state': run_state}}
-    return DATA + json.dumps(body).encode() + b'\n\n'
+    return DATA + orjson.dumps(body) + b'\n\n'
--- a/src/cairnloom/gateway/dispatch.py
+++ b/src/cairnloom/gateway/dispatch.py
@@ -6,10 +6,10 @@
 """
 
 import dataclasses
-import json
 from typing import Any
 from typing import Callable
 
+import orjson
 from twisted.internet import defer
 from twisted.web import http_headers
 
@@ -95,7 +95,7 @@
         if content == END_MARK:
             self._ended = True
             return
-        self._take(json.loads(content))
+        self._take(orjson.loads(content))
 
     def _settle(self) -> None:
         if self._idle.active():
--- a/src/cairnloom/gateway/program.py
+++ b/src/cairnloom/gateway/program.py
@@ -18,7 +18,6 @@
 from . import state
 from . import watch
 
-PUMP_SECONDS = 0.02
 WATCH_SECONDS = 0.5
 STALE_GRACE_SECONDS = 2.5
 LEAVE_NOTICE_SECONDS = 1.0
@@ -109,7 +108,6 @@
             (timing.exchange, self._exchange.round),
             (timing.usage_flush, self._ledger.flush),
             (WATCH_SECONDS, self._watch.watch),
-            (PUMP_SECONDS, self._pump),
             (timing.poll, self._end_stale),
         ]
         return [
@@ -117,9 +115,6 @@
             for seconds, work in works
         ]
 
-    async def _pump(self) -> None:
-        self.front.admission.pump()
-
     async def _end_stale(self) -> None:
         if self.state.may_serve() or not len(self.front.lives):
             return
--- a/src/cairnloom/gateway/requests.py
+++ b/src/cairnloom/gateway/requests.py
@@ -1,8 +1,9 @@
 """Model requests: from a checked body to the last event of the answer."""
 
-import json
 from typing import Any
 
+import orjson
+
 from .. import exceptions
 from ..admission import queues
 from ..coordination import claims
@@ -383,4 +384,4 @@
 
 
 def _to_json(body: Any) -> bytes:
-    return json.dumps(body).encode()
+    return orjson.dumps(body)
