--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup run demo test check format bench clean
+.PHONY: setup run demo test check format bench bench-control capacity fuzz clean
 
 setup: $(VENV)/.ready
 
@@ -32,3 +32,22 @@
 
 demo: setup
 	@scripts/run.sh casablanca $(BIN)/python scripts/demo.py
+
+bench: setup
+	$(BIN)/python bench/gateway.py
+
+bench-control: setup
+	$(BIN)/python bench/control.py
+
+capacity: setup
+	$(BIN)/python bench/capacity.py
+
+# Longer runs of the state machines: make fuzz SEED=3 SECONDS=600
+SEED ?= 1
+SECONDS ?= 300
+fuzz: setup
+	FUZZ_PROFILE=fuzz FUZZ_EXAMPLES=1000000 FUZZ_STEPS=60 \
+	    timeout $(SECONDS) $(BIN)/pytest --hypothesis-seed=$(SEED) \
+	    tests/test_orders.py tests/test_claims.py \
+	    tests/test_configuration.py tests/test_usage.py \
+	    -k "not careless" || test $$? -eq 124
--- a/src/cairnloom/standins/fleet.py
+++ b/src/cairnloom/standins/fleet.py
@@ -103,6 +103,13 @@
         if isinstance(running.resource, engine.EngineResource):
             running.resource.cut_all()
 
+    def mark(self, endpoint: str, leaving: bool) -> None:
+        """List an endpoint as leaving, or take that back."""
+        running = self._running[endpoint]
+        running.entry = dataclasses.replace(
+            running.entry, state='leaving' if leaving else 'running'
+        )
+
     def _take_away(self, running: _Running) -> None:
         running.entry = dataclasses.replace(running.entry, state='leaving')
         self._clock.callLater(
--- a/src/cairnloom/standins/program.py
+++ b/src/cairnloom/standins/program.py
@@ -30,6 +30,8 @@
     refuse_cheap: bool | None = None
     reclaim_domain: str | None = None
     crash_endpoint: str | None = None
+    mark_endpoint: str | None = None
+    leaving: bool = True
     slow_endpoint: str | None = None
     slowdown: float = 10.0
     service_delay_seconds: float | None = None
@@ -111,6 +113,8 @@
             self.fleet.reclaim(wanted.reclaim_domain)
         if wanted.crash_endpoint is not None:
             self.fleet.crash(wanted.crash_endpoint)
+        if wanted.mark_endpoint is not None:
+            self.fleet.mark(wanted.mark_endpoint, wanted.leaving)
         if wanted.slow_endpoint is not None:
             made = self.fleet.resource(wanted.slow_endpoint)
             made.state.slowdown = wanted.slowdown
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,251 @@
+"""Bad input, settings, and what endpoints may see."""
+
+import json
+import pathlib
+import socket
+import subprocess
+import time
+
+import processes
+import pytest
+
+from cairnloom import settings
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+@pytest.fixture(scope='module')
+def system():
+    with processes.System(gateways=1) as started:
+        started.key = started.configure()
+        yield started
+
+
+def post(system, body, path='/v1/chat/completions', **headers):
+    headers.setdefault('Authorization', 'Bearer ' + system.key)
+    return processes.call(
+        system.callers('host-1') + path, body, headers=headers
+    )
+
+
+def speak(system, data, seconds=3.0):
+    """Send raw bytes and return what comes back."""
+    port = system.gateways['host-1'].ports['callers']
+    with socket.create_connection(('127.0.0.1', port)) as connection:
+        connection.settimeout(seconds)
+        connection.sendall(data)
+        received = b''
+        try:
+            while part := connection.recv(65536):
+                received += part
+        except (TimeoutError, ConnectionError):
+            pass
+    return received
+
+
+MESSAGES = [{'role': 'user', 'content': 'hi'}]
+
+
+@pytest.mark.parametrize(
+    'body, status, named',
+    [
+        (b'{"model": "m", ', 400, 'JSON'),
+        (b'[]', 400, 'object'),
+        ({'messages': MESSAGES}, 400, 'model'),
+        ({'model': 'm', 'messages': []}, 400, 'messages'),
+        ({'model': 'm', 'messages': 'hi'}, 400, 'messages'),
+        ({'model': 'm', 'messages': MESSAGES, 'n': 3}, 400, 'n:'),
+        (
+            {'model': 'm', 'messages': MESSAGES, 'max_tokens': -1},
+            400,
+            'max_tokens',
+        ),
+        ({'model': 'other', 'messages': MESSAGES}, 404, 'model'),
+    ],
+)
+def test_bad_body_gets_clear_error(system, body, status, named):
+    found, headers, text = post(system, body)
+    error = json.loads(text)['error']
+    assert found == status
+    assert named in error['message']
+    assert headers['Cairnloom-Run-State'] == error['run_state'] == 'not-run'
+
+
+def test_unknown_class_path_and_method(system):
+    body = {'model': 'm', 'messages': MESSAGES}
+    assert post(system, body, **{'Cairnloom-Class': 'none'})[0] == 404
+    assert post(system, body, '/v1/unknown')[0] == 404
+    status, _, _ = processes.call(
+        system.callers('host-1') + '/v1/completions',
+        method='GET',
+        headers={'Authorization': 'Bearer ' + system.key},
+    )
+    assert status == 405
+
+
+@pytest.mark.parametrize(
+    'value', ['', 'Bearer', 'Basic abc', 'Bearer ' + 'x' * 600]
+)
+def test_odd_authorization_is_refused(system, value):
+    status, headers, _ = post(system, {}, Authorization=value)
+    assert status == 401
+    assert headers['WWW-Authenticate'] == 'Bearer'
+
+
+def test_large_body_is_refused(system):
+    head = (
+        b'POST /v1/completions HTTP/1.1\r\nhost: x\r\n'
+        b'content-length: 99999999\r\n\r\n'
+    )
+    reply = speak(system, head + b'x' * 1000)
+    assert reply.startswith(b'HTTP/1.1 413')
+    assert b'not-run' in reply
+
+
+def test_large_chunked_body_is_refused(system):
+    head = (
+        b'POST /v1/completions HTTP/1.1\r\nhost: x\r\n'
+        b'transfer-encoding: chunked\r\n\r\n'
+    )
+    piece = b'10000\r\n' + b'x' * 0x10000 + b'\r\n'
+    assert b' 413 ' in speak(system, head + piece * 80)
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'GET / HTTP/1.1\r\nhost: x\r\nlong: ' + b'y' * 70000 + b'\r\n\r\n',
+        b'GET / HTTP/1.1\r\n' + b'a: b\r\n' * 2000 + b'\r\n',
+        b'\x16\x03\x01\x02\x00garbage\r\n\r\n',
+        b'POST / HTTP/1.1\r\ncontent-length: abc\r\n\r\n',
+    ],
+)
+def test_garbage_harms_nobody(system, data):
+    reply = speak(system, data)
+    assert reply == b'' or reply.startswith(b'HTTP/1.1 4')
+    body = {'model': 'm', 'messages': MESSAGES, 'max_tokens': 1}
+    assert post(system, body)[0] == 200
+
+
+def test_garbage_after_request_leaves_answer_whole(system):
+    body = json.dumps(
+        {'model': 'm', 'messages': MESSAGES, 'max_tokens': 3}
+    ).encode()
+    head = (
+        'POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n'
+        'authorization: Bearer %s\r\ncontent-length: %d\r\n\r\n'
+        % (system.key, len(body))
+    )
+    reply = speak(system, head.encode() + body + b'\x00\x01garbage\r\n\r\n')
+    assert reply.startswith(b'HTTP/1.1 200')
+    assert b'"completion_tokens":3' in reply
+
+
+def test_slow_sender_is_cut_off():
+    with processes.System(gateways=1) as slow:
+        path = pathlib.Path(slow.write_host('host-1'))
+        chosen = json.loads(path.read_text())
+        chosen['limits'] = {'request_seconds': 1.0}
+        path.write_text(json.dumps(chosen))
+        slow.gateways['host-1'].kill()
+        slow.gateways['host-1'] = processes.Process(
+            'cairnloom-gateway', '--settings', str(path)
+        ).wait()
+        port = slow.gateways['host-1'].ports['callers']
+        with socket.create_connection(('127.0.0.1', port)) as connection:
+            began = time.monotonic()
+            with pytest.raises(OSError):
+                for _ in range(100):
+                    connection.sendall(b'a')
+                    time.sleep(0.1)
+            assert time.monotonic() - began < 5.0
+
+
+def test_endpoint_sees_neither_key_nor_spoofed_headers(system):
+    route = {'prefix': '/orders', 'service': 'orders', 'idempotent': True}
+    system.change('host-1', {'kind': 'put_route', 'route': route})
+    status, _, body = post(
+        system,
+        b'data',
+        '/orders/a?b=c',
+        **{
+            'Cookie': 'a=b',
+            'X-Forwarded-For': '1.2.3.4',
+            'Cairnloom-Request': 'mine',
+            'X-Team-Note': 'kept',
+        },
+    )
+    assert status == 200
+    assert json.loads(body)['path'] == '/orders/a?b=c'
+    names = system.record()['header_names']
+    assert 'x-team-note' in names
+    for hidden in ('authorization', 'cookie', 'x-forwarded-for'):
+        assert hidden not in names
+
+
+def test_open_route_needs_no_key_and_any_method(system):
+    route = {'prefix': '/open', 'service': 'orders', 'open': True}
+    system.change('host-1', {'kind': 'put_route', 'route': route})
+    for method in ('GET', 'PUT', 'DELETE', 'PATCH'):
+        status, _, body = processes.call(
+            system.callers('host-1') + '/open/x', method=method
+        )
+        assert status == 200
+        assert json.loads(body)['method'] == method
+
+
+def test_ctl_exit_statuses(system):
+    assert system.ctl('host-1', 'nonsense')[0] == 2
+    assert system.ctl('host-1', 'key', 'issue', 'nobody')[0] == 1
+    status, _, _ = system.ctl(
+        'host-1', 'team', 'put', 'x', '--expected_version', '1'
+    )
+    assert status == 3
+    status, shown, _ = system.ctl('host-1', 'team', 'list', '--output', 'json')
+    assert json.loads(shown)[0]['name'] == 'atlas'
+
+
+def test_logs_and_dump_hold_no_key(system):
+    post(system, {'model': 'm', 'messages': MESSAGES})
+    assert system.key not in json.dumps(system.state('host-1'))
+    assert system.key not in '\n'.join(system.gateways['host-1'].lines)
+
+
+def test_example_settings_are_valid():
+    for path in ROOT.glob('examples/*/host-*.json'):
+        assert settings.load(settings.Host, str(path)).is_ok(), path
+    for path in ROOT.glob('examples/*/standin.json'):
+        assert settings.load(settings.Standin, str(path)).is_ok(), path
+
+
+def test_every_fault_of_settings_is_named(tmp_path):
+    path = tmp_path / 'host.json'
+    chosen = json.loads((ROOT / 'examples/casablanca/host-0.json').read_text())
+    chosen['callers']['port'] = 99999
+    chosen['unknown'] = 1
+    del chosen['platform']['table']
+    path.write_text(json.dumps(chosen))
+    ended = subprocess.run(
+        [str(processes.BIN / 'cairnloom-gateway'), '--settings', str(path)],
+        capture_output=True,
+        text=True,
+    )
+    assert ended.returncode == 2
+    for named in ('callers.port', 'unknown', 'platform.table'):
+        assert named in ended.stderr
+
+
+def test_settings_can_be_checked_alone():
+    path = ROOT / 'examples/lagos/host-0.json'
+    for name in ('gateway', 'controller', 'reporter'):
+        ended = subprocess.run(
+            [
+                str(processes.BIN / ('cairnloom-' + name)),
+                '--settings',
+                str(path),
+                '--check_settings',
+            ],
+            capture_output=True,
+            text=True,
+        )
+        assert ended.returncode == 0, ended.stderr
