--- /dev/null
+++ b/src/cairnloom/admission/gates.py
@@ -0,0 +1,170 @@
+"""Which requests wait, which start and which are refused.
+
+Stands between a gateway's requests and the endpoints: a request is refused
+at once when the work ahead of it makes its target out of reach, waits in the
+fair queue otherwise, and starts when an endpoint has room.
+"""
+
+import dataclasses
+
+from ..routing import choice
+
+from . import queues
+
+RATE_WEIGHT = 0.3
+RATE_SECONDS = 1.0
+SMALLEST_RETRY_SECONDS = 1.0
+LONGEST_RETRY_SECONDS = 60.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Work:
+    """What one request asks of the fleet; ``tokens`` is its whole cost."""
+
+    request_id: str
+    class_name: str
+    team: str
+    first_token_seconds: float
+    want: choice.Want
+    tokens: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Granted:
+    """A request that may be sent to an endpoint now."""
+
+    work: Work
+    chosen: choice.Choice
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """A request that can't begin in time; come back after some seconds."""
+
+    work: Work
+    retry_after: float
+
+
+Outcome = Granted | Refused
+
+
+class _Rate:
+    """The work that was started for a group in the last seconds."""
+
+    def __init__(self) -> None:
+        self._since: float | None = None
+        self._tokens = 0.0
+        self.per_second = 0.0
+
+    def add(self, tokens: float, now: float) -> None:
+        """Note work that has been started."""
+        if self._since is None:
+            self._since = now
+        self._tokens += tokens
+        passed = now - self._since
+        if passed < RATE_SECONDS:
+            return
+        seen = self._tokens / passed
+        if self.per_second == 0.0:
+            self.per_second = seen
+        self.per_second += RATE_WEIGHT * (seen - self.per_second)
+        self._since = now
+        self._tokens = 0.0
+
+
+class Gate:
+    """Decide for one gateway."""
+
+    def __init__(
+        self, queue: queues.FairQueue, router: choice.Router, bound: int
+    ) -> None:
+        self._queue = queue
+        self._router = router
+        self._bound = bound
+        self._works: dict[str, Work] = {}
+        self._rates: dict[str, _Rate] = {}
+
+    def __len__(self) -> int:
+        return len(self._works)
+
+    def submit(self, work: Work, now: float) -> Refused | None:
+        """Let a request wait, or refuse it at once."""
+        if len(self._works) >= self._bound or self._is_hopeless(work):
+            return self._refuse(work)
+        self._works[work.request_id] = work
+        self._queue.add(_waiting(work, now))
+        return None
+
+    def leave(self, request_id: str) -> bool:
+        """Take a waiting request out, because nobody needs it any more."""
+        work = self._works.pop(request_id, None)
+        if work is None:
+            return False
+        for item in self._queue.select(
+            lambda item: item.request_id == request_id
+        ):
+            self._queue.remove(item)
+        return True
+
+    def pump(self, now: float) -> list[Outcome]:
+        """Start what can start and refuse what has become too late."""
+        outcomes: list[Outcome] = []
+        for item in self._queue.expire(now):
+            outcomes.append(self._refuse(self._works.pop(item.request_id)))
+        while (granted := self._start_one(now)) is not None:
+            outcomes.append(granted)
+        return outcomes
+
+    def _start_one(self, now: float) -> Granted | None:
+        for item in self._queue.heads():
+            work = self._works[item.request_id]
+            chosen = self._router.choose(work.want, now)
+            if chosen is not None:
+                return self._grant(item, work, chosen, now)
+        return None
+
+    def _grant(
+        self,
+        item: queues.Waiting,
+        work: Work,
+        chosen: choice.Choice,
+        now: float,
+    ) -> Granted:
+        del self._works[work.request_id]
+        self._queue.take(item)
+        self._router.view.start(chosen.endpoint, work.want.prompt_tokens)
+        self._rates.setdefault(work.want.group, _Rate()).add(work.tokens, now)
+        return Granted(work, chosen)
+
+    def _is_hopeless(self, work: Work) -> bool:
+        rate = self._rate(work.want.group)
+        if rate <= 0:
+            return False
+        ahead = self._queue.ahead_of(work.class_name, work.team)
+        return ahead / rate > work.first_token_seconds
+
+    def _refuse(self, work: Work) -> Refused:
+        rate = self._rate(work.want.group)
+        wait = SMALLEST_RETRY_SECONDS
+        if rate > 0:
+            wait = max(wait, self._waiting_tokens(work.want.group) / rate)
+        return Refused(work, min(wait, LONGEST_RETRY_SECONDS))
+
+    def _rate(self, group: str) -> float:
+        rate = self._rates.get(group)
+        return 0.0 if rate is None else rate.per_second
+
+    def _waiting_tokens(self, group: str) -> float:
+        waiting = self._queue.select(lambda item: item.group == group)
+        return sum(item.tokens for item in waiting)
+
+
+def _waiting(work: Work, now: float) -> queues.Waiting:
+    return queues.Waiting(
+        work.request_id,
+        work.class_name,
+        work.team,
+        work.want.group,
+        work.tokens,
+        now + work.first_token_seconds,
+    )
--- a/src/cairnloom/gateway/requests.py
+++ b/src/cairnloom/gateway/requests.py
@@ -5,6 +5,7 @@
 import orjson
 
 from .. import exceptions
+from ..admission import gates
 from ..admission import queues
 from ..coordination import claims
 from ..coordination import documents
@@ -135,6 +136,7 @@
         self._fingerprint = quarantine.fingerprint(life.team, life.caller.body)
         self._avoid: set[str] = set()
         self._avoid_domains: set[str] = set()
+        self._charged = 0.0
         self._last_token_at = 0.0
         self._sent_at = 0.0
         self._engine_answering = False
@@ -163,7 +165,7 @@
         return self._admission.check_limit(self._life, self._work().tokens)
 
     async def _run_admitted(self) -> callers.Refusal | None:
-        granted = await self._admission.wait(self._life, self._work())
+        granted = await self._wait()
         if isinstance(granted, callers.Refusal):
             return granted
         if self._life.is_over():
@@ -174,6 +176,13 @@
         self._settle_usage()
         return refusal
 
+    async def _wait(self) -> choice.Choice | callers.Refusal:
+        work = self._work()
+        granted = await self._admission.wait(self._life, work)
+        if isinstance(granted, choice.Choice):
+            self._charged += work.tokens
+        return granted
+
     async def _run_attempts(
         self, chosen: choice.Choice
     ) -> callers.Refusal | None:
@@ -302,7 +311,7 @@
         return None
 
     async def _choose_again(self) -> choice.Choice | callers.Refusal:
-        granted = await self._admission.wait(self._life, self._work())
+        granted = await self._wait()
         if isinstance(granted, callers.Refusal):
             return self._failed(granted.message)
         if self._life.is_over():
@@ -361,7 +370,7 @@
         self._state.book.record(self._life.team, figures, self._state.window())
         spent = queues.cost(prefill, self._answer.tokens)
         self._state.queue.charge(
-            self._target.name, self._life.team, spent - self._work().tokens
+            self._target.name, self._life.team, spent - self._charged
         )
 
     def _expected_output(self) -> float:
@@ -371,7 +380,7 @@
         bound = self._prompt.body.output_bound()
         return predicted if bound is None else min(predicted, bound)
 
-    def _work(self) -> admission.Work:
+    def _work(self) -> gates.Work:
         want = choice.Want(
             group=self._target.model,
             prompt_tokens=self._prompt.tokens,
@@ -380,7 +389,14 @@
             avoid_domains=frozenset(self._avoid_domains),
         )
         tokens = queues.cost(self._prompt.tokens, self._expected_output())
-        return admission.Work(self._target, want, tokens)
+        return gates.Work(
+            self._life.caller.request_id,
+            self._target.name,
+            self._life.team,
+            self._target.first_token_seconds,
+            want,
+            tokens,
+        )
 
 
 def _to_json(body: Any) -> bytes:
--- a/src/cairnloom/standins/engine.py
+++ b/src/cairnloom/standins/engine.py
@@ -76,7 +76,7 @@
         return b'{}'
 
     def _report(self) -> engines.LoadReport:
-        prefill, decode = ROLE_SPEEDS[self.state.role]
+        prefill, _ = ROLE_SPEEDS[self.state.role]
         queued = max(0.0, self.state.prefill_free_at - self._clock.seconds())
         rate = self.state.prefill_rate * prefill
         return engines.LoadReport(
@@ -87,7 +87,7 @@
             queued_prefill_tokens=int(queued * rate),
             slots=self._slots(),
             prefill_tokens_per_second=rate,
-            seconds_per_token=self.state.token_seconds / decode,
+            seconds_per_token=self.state.token_seconds,
             order_id=self.state.order_id,
         )
 
@@ -151,10 +151,8 @@
 
     def pace(self) -> float:
         """Return the seconds until the next token of a stream."""
-        _, decode = ROLE_SPEEDS[self.state.role]
         pressure = max(1.0, len(self._streams) / self._slots())
-        seconds = self.state.token_seconds / decode
-        return seconds * pressure * self.state.slowdown
+        return self.state.token_seconds * pressure * self.state.slowdown
 
     def later(self, seconds: float, call: Any) -> None:
         """Call something on the engine's clock."""
