Spread the work of others evenly, move answers off drained engines

In the system, two tests across processes: an engine drained under a running answer is empty within 1 s and the answer whole; roles follow the mix and cut nothing.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -54,6 +54,8 @@
     refused: bool = False
     lost: bool = False
     cheap: bool = False
+    left: int | None = None
+    resumed: int = 0
 
     def is_good(self):
         """Tell whether the answer came whole and within its target."""
@@ -95,22 +97,21 @@
         """Return the prompt tokens a second."""
         return self.settings['prefill'] * self.speeds()[0]
 
-    def take(self, request, done):
+    def take(self, request, done, first=None):
         """Take a request; ``done`` is called at its end."""
         if self.lost:
             self.clock.later(0.01, done, request, False)
             return
-        self.queue.append((request, done))
+        self.queue.append((request, done, first))
         self._fill()
 
     def _fill(self):
         if self.changing or self.lost:
             return
         while self.queue and len(self.running) < self.slots():
-            request, done = self.queue.popleft()
-            self._begin(request, done)
+            self._begin(*self.queue.popleft())
 
-    def _begin(self, request, done):
+    def _begin(self, request, done, told):
         now = self.clock.now
         started = max(now, self.prefill_free)
         seconds = request.prompt / self.prefill_rate() * self.slowdown
@@ -118,15 +119,20 @@
         self.running[request.number] = done
         pace = self.settings['token'] * self.slowdown
         first = self.prefill_free + pace
-        self.clock.at(first, self._first, request)
-        ended = first + pace * max(0, request.output - 1)
-        self.clock.at(ended, self._end, request)
+        self.clock.at(first, self._first, request, told)
+        left = request.output if request.left is None else request.left
+        ended = first + pace * max(0, left - 1)
+        self.clock.at(ended, self._end, request, request.resumed)
 
-    def _first(self, request):
+    def _first(self, request, told):
         if request.number in self.running:
-            request.first_token = self.clock.now
+            if request.first_token is None:
+                request.first_token = self.clock.now
+            told()
 
-    def _end(self, request):
+    def _end(self, request, resumed):
+        if request.resumed != resumed:
+            return
         done = self.running.pop(request.number, None)
         if done is None:
             return
@@ -143,6 +149,17 @@
         for done in broken:
             self.clock.later(0.0, done, None, False)
 
+    def move_all(self):
+        """Give every request back, begun or not, with what is left of it."""
+        moved = list(self.running.items())
+        self.running.clear()
+        waiting = list(self.queue)
+        self.queue.clear()
+        for request, done, _ in waiting:
+            done(request, False)
+        for _, done in moved:
+            done(None, False)
+
     def change_role(self, role, ended):
         """Go away for some seconds and come back in another role."""
         self.changing = True
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -27,6 +27,7 @@
 EXCHANGE_SECONDS = 0.5
 PLAN_SECONDS = 1.0
 PUMP_SECONDS = 0.02
+MOVE_AFTER_SECONDS = 1.0
 ENGINE = {'prefill': 10000.0, 'token': 0.02, 'slots': 16, 'change': 2.0}
 SEEDS = (1, 2, 3)
 
@@ -151,6 +152,7 @@
             request.target,
             choice.Want(fleet.MODEL, request.prompt, str(request.number)),
             queues.cost(request.prompt, expected),
+            continuing=request.resumed > 0,
         )
         self.requests[work.request_id] = (request, work)
         if self.gate.submit(work, self.world.clock.now) is not None:
@@ -158,6 +160,17 @@
         self.pump()
         self.spent.append(time.perf_counter() - began)
 
+    def resume(self, request):
+        """Go on at the token reached; nothing new is offered by that."""
+        before = self.offered
+        if request.first_token is not None:
+            passed = self.world.clock.now - request.first_token
+            done = min(request.output - 1, int(passed / ENGINE['token']))
+            request.left = request.output - done
+            request.resumed += 1
+        self.ask(request)
+        self.offered = before
+
     def simple_choice(self):
         """Choose as a baseline does."""
         loads = [
@@ -187,35 +200,39 @@
         sent_at = self.world.clock.now
         engine = self.world.engines[load.entry.endpoint]
 
+        tokens = request.prompt
+        seen = []
+
+        def first():
+            seen.append(True)
+            if chosen is not None:
+                now = self.world.clock.now
+                self.view.note_first_token(chosen.sent, now - sent_at, now)
+
         def done(_, whole):
-            self.view.finish(engine.name)
+            self.view.finish(engine.name, 0 if seen else tokens)
             if not whole:
                 self.fail(engine, request)
                 return
-            self.view.note_success(engine.name)
+            self.view.note_success(engine.name, self.world.clock.now - sent_at)
             self.predictions.note(request.name, request.team, request.output)
             if work is not None:
                 spent = queues.cost(request.prompt, request.output)
                 self.queue.charge(
                     request.name, request.team, spent - work.tokens
                 )
-                self.view.note_first_token(
-                    engine.name,
-                    request.first_token - sent_at,
-                    chosen.estimate,
-                )
             self.pump()
 
-        engine.take(request, done)
+        engine.take(request, done, first)
 
     def fail(self, engine, request):
-        """Send a request again after its engine was lost."""
-        self.view.note_failure(engine.name, self.world.clock.now)
-        request.lost = True
-        request.first_token = None
+        """Let a request go on elsewhere, its engine is lost or drained."""
+        if not self.world.moving:
+            self.view.note_failure(engine.name, self.world.clock.now)
+            request.lost = True
         if self.world.policy.choose != 'ours':
             return
-        self.ask(request)
+        self.resume(request)
 
 
 class World:
@@ -244,6 +261,8 @@
         self.planner = roles.RolePlanner(roles.RoleSettings())
         self.meter = fleets.MixMeter()
         self.draining = {}
+        self.drained_at = {}
+        self.moving = False
         self.lost_gateways = set()
 
     def run(self):
@@ -334,6 +353,7 @@
         ]
         for change in self.planner.plan(seen, mixes, self.clock.now):
             self.draining[change.endpoint] = change.role
+            self.drained_at[change.endpoint] = self.clock.now
             self.drain(change.endpoint)
 
     def drain(self, name):
@@ -342,11 +362,19 @@
         for gateway in self.gateways:
             gateway.view.drain(name, self.clock.now + 1.0)
         if engine.running or engine.queue:
+            if self.clock.now - self.drained_at[name] > MOVE_AFTER_SECONDS:
+                self.move(engine)
             self.clock.later(0.25, self.drain, name)
             return
         role = self.draining[name]
         engine.change_role(role, lambda: self.end_change(name))
 
+    def move(self, engine):
+        """Let the gateways resume elsewhere what an engine still runs."""
+        self.moving = True
+        engine.move_all()
+        self.moving = False
+
     def end_change(self, name):
         """Let an engine take work again."""
         del self.draining[name]
--- a/src/cairnloom/admission/gates.py
+++ b/src/cairnloom/admission/gates.py
@@ -2,7 +2,9 @@
 
 Stands between a gateway's requests and the endpoints: a request is refused
 at once when the work ahead of it makes its target out of reach, waits in the
-fair queue otherwise, and starts when an endpoint has room.
+fair queue otherwise, and starts when an endpoint has room. An answer that has
+begun and must go on elsewhere comes before all new work and is not shed for
+its target.
 """
 
 import dataclasses
@@ -15,11 +17,15 @@
 RATE_SECONDS = 1.0
 SMALLEST_RETRY_SECONDS = 1.0
 LONGEST_RETRY_SECONDS = 60.0
+CONTINUING_SECONDS = 15.0
 
 
 @dataclasses.dataclass(frozen=True)
 class Work:
-    """What one request asks of the fleet; ``tokens`` is its whole cost."""
+    """What one request asks of the fleet; ``tokens`` is its whole cost.
+
+    ``continuing`` marks an answer that has begun at another endpoint.
+    """
 
     request_id: str
     class_name: str
@@ -27,6 +33,7 @@
     first_token_seconds: float
     want: choice.Want
     tokens: float
+    continuing: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,6 +55,14 @@
 Outcome = Granted | Refused
 
 
+@dataclasses.dataclass(frozen=True)
+class _Continuing:
+    """An answer that waits to go on, until a time."""
+
+    work: Work
+    until: float
+
+
 class _Rate:
     """The work that was started for a group in the last seconds."""
 
@@ -83,12 +98,17 @@
         self._bound = bound
         self._works: dict[str, Work] = {}
         self._rates: dict[str, _Rate] = {}
+        self._continuing: dict[str, _Continuing] = {}
 
     def __len__(self) -> int:
-        return len(self._works)
+        return len(self._works) + len(self._continuing)
 
     def submit(self, work: Work, now: float) -> Refused | None:
         """Let a request wait, or refuse it at once."""
+        if work.continuing:
+            until = now + CONTINUING_SECONDS
+            self._continuing[work.request_id] = _Continuing(work, until)
+            return None
         if len(self._works) >= self._bound or self._is_hopeless(work):
             return self._refuse(work)
         self._works[work.request_id] = work
@@ -97,6 +117,8 @@
 
     def leave(self, request_id: str) -> bool:
         """Take a waiting request out, because nobody needs it any more."""
+        if self._continuing.pop(request_id, None) is not None:
+            return True
         work = self._works.pop(request_id, None)
         if work is None:
             return False
@@ -108,17 +130,38 @@
 
     def pump(self, now: float) -> list[Outcome]:
         """Start what can start and refuse what has become too late."""
-        outcomes: list[Outcome] = []
+        outcomes = self._pump_continuing(now)
         for item in self._queue.expire(now):
             outcomes.append(self._refuse(self._works.pop(item.request_id)))
         while (granted := self._start_one(now)) is not None:
             outcomes.append(granted)
         return outcomes
 
+    def _pump_continuing(self, now: float) -> list[Outcome]:
+        outcomes: list[Outcome] = []
+        for request_id, waiting in list(self._continuing.items()):
+            work = waiting.work
+            chosen = self._router.choose(work.want, now)
+            if chosen is not None:
+                self._start(work, chosen)
+                self._queue.charge(work.class_name, work.team, work.tokens)
+                outcomes.append(Granted(work, chosen))
+            elif now >= waiting.until:
+                outcomes.append(self._refuse(work))
+            else:
+                continue
+            del self._continuing[request_id]
+        return outcomes
+
+    def _start(self, work: Work, chosen: choice.Choice) -> None:
+        tokens = work.want.prompt_tokens
+        self._router.view.start(chosen.endpoint, tokens)
+
     def _start_one(self, now: float) -> Granted | None:
         for item in self._queue.heads():
             work = self._works[item.request_id]
-            chosen = self._router.choose(work.want, now)
+            want = dataclasses.replace(work.want, within=item.deadline - now)
+            chosen = self._router.choose(want, now)
             if chosen is not None:
                 return self._grant(item, work, chosen, now)
         return None
@@ -132,8 +175,12 @@
     ) -> Granted:
         del self._works[work.request_id]
         self._queue.take(item)
-        self._router.view.start(chosen.endpoint, work.want.prompt_tokens)
-        self._rates.setdefault(work.want.group, _Rate()).add(work.tokens, now)
+        self._start(work, chosen)
+        if self._works:
+            # Only work that starts while other work waits tells how much the
+            # endpoints can take.
+            rate = self._rates.setdefault(work.want.group, _Rate())
+            rate.add(work.tokens, now)
         return Granted(work, chosen)
 
     def _is_hopeless(self, work: Work) -> bool:
--- a/src/cairnloom/controller/orders.py
+++ b/src/cairnloom/controller/orders.py
@@ -19,6 +19,7 @@
 from . import state
 
 DRAIN_SECONDS = 4.0
+MOVE_AFTER_SECONDS = 1.0
 OBSERVE_EVERY_SECONDS = 1.0
 START_PREFIX = 'start:'
 STOP_PREFIX = 'stop:'
@@ -269,8 +270,13 @@
         authority = self._state.leadership.authority()
         if authority is None:
             return None
+        drain = self.drains.get(endpoint)
+        since = self._state.now() if drain is None else drain.since
+        move = self._state.now() - since > MOVE_AFTER_SECONDS
         body = codec.encode(
-            messages.DrainRequest(endpoint, authority.fence, DRAIN_SECONDS)
+            messages.DrainRequest(
+                endpoint, authority.fence, DRAIN_SECONDS, move
+            )
         )
         try:
             reply = await self._state.http.exchange(
--- a/src/cairnloom/gateway/calls.py
+++ b/src/cairnloom/gateway/calls.py
@@ -142,6 +142,7 @@
         return self._state.budget.take()
 
     async def _attempt(self, chosen: choice.Choice) -> None:
+        sent_at = self._state.now()
         reply = await self._open(chosen)
         self._life.cancel = reply.cancel
         relay = _Relay(self._life.caller, self._claim is not None)
@@ -156,7 +157,9 @@
             self._state.view.note_failure(chosen.endpoint, self._state.now())
             raise exceptions.EndpointError('answer broken off', ran=True)
         await self._end(reply.status, kind, relay)
-        self._state.view.note_success(chosen.endpoint)
+        self._state.view.note_success(
+            chosen.endpoint, self._state.now() - sent_at
+        )
         self._state.budget.note_success()
 
     async def _open(self, chosen: choice.Choice) -> client.StreamedReply:
--- a/src/cairnloom/gateway/lives.py
+++ b/src/cairnloom/gateway/lives.py
@@ -28,6 +28,7 @@
     """One request that is being served.
 
     ``cancel`` breaks the work off; it is replaced at each stage that waits.
+    ``moving`` tells that it was broken off to go on at another endpoint.
     """
 
     caller: callers.CallerRequest
@@ -37,6 +38,9 @@
     stage: Stage = Stage.ARRIVED
     broken_off: callers.Refusal | None = None
     cancel: Callable[[], None] = lambda: None
+    endpoint: str = ''
+    may_move: bool = False
+    moving: bool = False
 
     def advance(self, stage: Stage) -> None:
         """Go to a later stage."""
@@ -56,6 +60,12 @@
             self.broken_off = refusal
             self.cancel()
 
+    def move(self) -> None:
+        """Let the answer go on at another endpoint."""
+        if self.may_move and not self.moving and not self.is_over():
+            self.moving = True
+            self.cancel()
+
     def is_over(self) -> bool:
         """Tell whether nothing more should be done for the request."""
         return self.broken_off is not None or self.caller.gone
@@ -91,6 +101,12 @@
             life.break_off(withdrawn(life))
         return len(gone)
 
+    def move_from(self, endpoint: str) -> None:
+        """Let all answers of one endpoint go on elsewhere."""
+        for life in list(self._lives):
+            if life.endpoint == endpoint:
+                life.move()
+
     def break_off_all(self, message: str) -> None:
         """Break off every request, because none may go on."""
         for life in list(self._lives):
--- a/src/cairnloom/gateway/program.py
+++ b/src/cairnloom/gateway/program.py
@@ -139,6 +139,8 @@
         wanted = codec.decode(messages.DrainRequest, call.body)
         until = self.state.now() + wanted.seconds
         self.state.view.drain(wanted.endpoint, until)
+        if wanted.move:
+            self.front.lives.move_from(wanted.endpoint)
         running = self.state.view.own_running(wanted.endpoint)
         return server.Answer(codec.encode(messages.DrainReply(running)))
 
@@ -206,10 +208,10 @@
             'state': load.entry.state,
             'model': load.report.model,
             'role': load.report.role,
-            'running': load.running(),
+            'running': round(load.running()),
             'own_running': load.own_running,
             'slots': load.report.slots,
-            'slowness': round(load.slowness, 2),
+            'late_seconds': round(load.late(self.state.now()), 3),
             'draining': load.draining,
             'ejected': self.state.now() < load.ejected_until,
         }
--- a/src/cairnloom/gateway/requests.py
+++ b/src/cairnloom/gateway/requests.py
@@ -169,7 +169,8 @@
         if isinstance(granted, callers.Refusal):
             return granted
         if self._life.is_over():
-            self._state.view.finish(granted.endpoint)
+            self._engine_answering = False
+            self._finish(granted)
             return self._life.broken_off
         self._life.advance(lives.Stage.DISPATCHED)
         refusal = await self._run_attempts(granted)
@@ -186,12 +187,14 @@
     async def _run_attempts(
         self, chosen: choice.Choice
     ) -> callers.Refusal | None:
-        for number in range(1, retries.ATTEMPTS + 1):
-            fault = await self._attempt(chosen, number)
+        failed = 0
+        while failed < retries.ATTEMPTS:
+            fault = await self._attempt(chosen, failed + 1)
             if fault is None:
                 await self._end_whole()
                 return None
-            refusal = self._judge(fault, number)
+            failed += not self._life.moving
+            refusal = self._judge(fault, failed)
             if refusal is not None:
                 return refusal
             again = await self._choose_again()
@@ -205,6 +208,8 @@
     ) -> exceptions.EndpointError | None:
         stream = dispatch.EngineStream(self._state.http, self._state.reactor)
         self._life.cancel = stream.cancel
+        self._life.endpoint = chosen.endpoint
+        self._life.may_move = self._claim is None
         self._life.caller.produce(stream.pause, stream.resume)
         self._sent_at = self._state.now()
         self._engine_answering = False
@@ -226,13 +231,20 @@
             return fault
         finally:
             self._life.cancel = lambda: None
+            self._life.endpoint = ''
             self._life.caller.stop_producing()
-            self._state.view.finish(chosen.endpoint)
+            self._finish(chosen)
             self._state.reactor.callLater(0, self._admission.pump)
-        self._state.view.note_success(chosen.endpoint)
+        self._state.view.note_success(
+            chosen.endpoint, self._state.now() - self._sent_at
+        )
         self._state.budget.note_success()
         return None
 
+    def _finish(self, chosen: choice.Choice) -> None:
+        left = 0 if self._engine_answering else chosen.sent.prefill_tokens
+        self._state.view.finish(chosen.endpoint, left)
+
     def _take(self, part: dict[str, Any], chosen: choice.Choice) -> None:
         before = self._answer.tokens
         data = self._answer.take(part)
@@ -255,7 +267,7 @@
         if not self._engine_answering:
             self._engine_answering = True
             self._state.view.note_first_token(
-                chosen.endpoint, now - self._sent_at, chosen.estimate
+                chosen.sent, now - self._sent_at, now
             )
         if self._answer.tokens == 1:
             waited = now - self._life.arrived_at
@@ -271,6 +283,9 @@
         self, fault: exceptions.EndpointError, chosen: choice.Choice
     ) -> None:
         self._avoid.add(chosen.endpoint)
+        if self._life.moving:
+            self._state.metrics.count('moved')
+            return
         self._avoid_domains.add(chosen.failure_domain)
         if self._life.is_over() or 400 <= fault.status < 500:
             return
@@ -296,6 +311,9 @@
             return self._life.broken_off
         if self._life.caller.gone:
             return self._failed('the caller is gone')
+        if self._life.moving:
+            self._life.moving = False
+            return None
         if 400 <= fault.status < 500:
             return callers.Refusal(fault.status, str(fault))
         if self._claim is not None and fault.ran:
@@ -315,7 +333,8 @@
         if isinstance(granted, callers.Refusal):
             return self._failed(granted.message)
         if self._life.is_over():
-            self._state.view.finish(granted.endpoint)
+            self._engine_answering = False
+            self._finish(granted)
             return self._failed('the caller is gone')
         return granted
 
@@ -396,6 +415,7 @@
             self._target.first_token_seconds,
             want,
             tokens,
+            continuing=self._answer.tokens > 0,
         )
 
 
--- a/src/cairnloom/planning/fleets.py
+++ b/src/cairnloom/planning/fleets.py
@@ -72,7 +72,7 @@
 class MixMeter:
     """Turn totals that only grow into smoothed rates, per model."""
 
-    def __init__(self, weight: float = 0.3) -> None:
+    def __init__(self, weight: float = 0.5) -> None:
         self._weight = weight
         self._totals: dict[tuple[str, str], Mix] = {}
         self._rates: dict[str, Mix] = {}
--- a/src/cairnloom/planning/roles.py
+++ b/src/cairnloom/planning/roles.py
@@ -2,7 +2,8 @@
 
 A change takes the engine away for seconds, so it is made only where the mix
 has pressed on one kind of work for a while, the gain over a horizon is worth
-the loss, and enough engines stay. Engines rest between changes.
+the loss, and enough engines stay. Engines rest between changes. Engines that
+are on their way to a role count as being in it.
 """
 
 import dataclasses
@@ -17,7 +18,8 @@
 
     press: float = 0.6
     gain: float = 0.1
-    hold: float = 4.0
+    hold: float = 1.0
+    away_share: float = 0.5
     horizon: float = 60.0
     change_cost: float = 4.0
     rest: float = 60.0
@@ -46,6 +48,7 @@
         self._settings = settings
         self._pressed_since: dict[str, float] = {}
         self._changed_at: dict[str, float] = {}
+        self._wanted: dict[str, engines.Role] = {}
 
     def plan(
         self,
@@ -54,36 +57,79 @@
         now: float,
     ) -> list[RoleChange]:
         """Return the changes to begin now."""
-        changes = []
+        self._forget_arrived(fleet, now)
+        changes: list[RoleChange] = []
         for model, mix in mixes.items():
             engines_of_model = [item for item in fleet if item.model == model]
-            change = self._plan_model(model, engines_of_model, mix, now)
-            if change is not None:
-                changes.append(change)
-                self._changed_at[change.endpoint] = now
+            changes += self._plan_model(model, engines_of_model, mix, now)
         return changes
 
+    def _forget_arrived(self, fleet: list[fleets.Engine], now: float) -> None:
+        for engine in fleet:
+            wanted = self._wanted.get(engine.endpoint)
+            late = self._changed_at.get(engine.endpoint, now)
+            if wanted == engine.role or now - late > self._settings.rest:
+                self._wanted.pop(engine.endpoint, None)
+
     def _plan_model(
         self,
         model: str,
         fleet: list[fleets.Engine],
         mix: fleets.Mix,
         now: float,
-    ) -> RoleChange | None:
-        if any(not item.available for item in fleet):
-            return None
+    ) -> list[RoleChange]:
         if len(fleet) <= self._settings.floor:
-            return None
-        use = fleets.capacity(fleet).use(mix)
-        best = self._best(model, fleet, mix, now)
-        if best is None or not self._is_worth(use, best.use, len(fleet)):
+            return []
+        expected = [self._as_wanted(engine) for engine in fleet]
+        best = self._find_worthy(model, expected, mix, now)
+        if best is None:
             self._pressed_since.pop(model, None)
-            return None
+            return []
         since = self._pressed_since.setdefault(model, now)
         if now - since < self._settings.hold:
+            return []
+        return self._begin(model, fleet, mix, now)
+
+    def _begin(
+        self,
+        model: str,
+        fleet: list[fleets.Engine],
+        mix: fleets.Mix,
+        now: float,
+    ) -> list[RoleChange]:
+        away = sum(not item.available for item in fleet)
+        most = max(1, int(self._settings.away_share * len(fleet)))
+        changes: list[RoleChange] = []
+        while away + len(changes) < most:
+            expected = [self._as_wanted(engine) for engine in fleet]
+            best = self._find_worthy(model, expected, mix, now)
+            if best is None:
+                break
+            changes.append(best.change)
+            self._changed_at[best.change.endpoint] = now
+            self._wanted[best.change.endpoint] = best.change.role
+        return changes
+
+    def _as_wanted(self, engine: fleets.Engine) -> fleets.Engine:
+        wanted = self._wanted.get(engine.endpoint)
+        if wanted is None:
+            return engine
+        return dataclasses.replace(
+            fleets.in_role(engine, wanted), available=True
+        )
+
+    def _find_worthy(
+        self,
+        model: str,
+        fleet: list[fleets.Engine],
+        mix: fleets.Mix,
+        now: float,
+    ) -> _Option | None:
+        use = fleets.capacity(fleet).use(mix)
+        best = self._best(model, fleet, mix, now)
+        if best is None or not self._is_worth(use, best.use, len(fleet)):
             return None
-        del self._pressed_since[model]
-        return best.change
+        return best
 
     def _is_worth(self, use: float, after: float, count: int) -> bool:
         if use < self._settings.press:
--- a/src/cairnloom/protocol/messages.py
+++ b/src/cairnloom/protocol/messages.py
@@ -60,11 +60,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class DrainRequest:
-    """Give an endpoint no new work for some seconds."""
+    """Give an endpoint no new work for some seconds.
+
+    With ``move``, what still runs there goes on at another endpoint.
+    """
 
     endpoint: str
     fence: int
     seconds: float
+    move: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/routing/choice.py
+++ b/src/cairnloom/routing/choice.py
@@ -3,10 +3,12 @@
 Candidates are the first ones on a hash ring after the prompt's prefix, which
 keeps prompts with the same prefix together, and a few random ones, which
 keeps gateways with the same old view from all choosing alike. Among them the
-shortest estimated time to the first token wins.
+shortest estimated time to the first token wins; one that would take longer
+than the request can wait is no candidate.
 """
 
 import bisect
+import collections
 import dataclasses
 import hashlib
 from typing import Protocol
@@ -15,9 +17,12 @@
 
 RING_POINTS = 16
 NEAR_CANDIDATES = 2
-RANDOM_CANDIDATES = 2
+RANDOM_CANDIDATES = 3
+FURTHER_CANDIDATES = 32
 PREFIX_CHARACTERS = 256
 CACHED_SHARE = 0.5
+REMEMBERED_PREFIXES = 4096
+OTHER_DOMAIN_SECONDS = 1000.0
 
 
 class Chooser(Protocol):
@@ -29,23 +34,28 @@
 
 @dataclasses.dataclass(frozen=True)
 class Want:
-    """What a request needs of an endpoint."""
+    """What a request needs of an endpoint.
+
+    ``within`` is the longest time to the first token, in seconds, that is
+    still of use.
+    """
 
     group: str
     prompt_tokens: int = 1
     prefix: str = ''
     avoid: frozenset[str] = frozenset()
     avoid_domains: frozenset[str] = frozenset()
+    within: float = float('inf')
 
 
 @dataclasses.dataclass(frozen=True)
 class Choice:
-    """The endpoint chosen, and the estimate in seconds that spoke for it."""
+    """The endpoint chosen, and what to tell the view of it later."""
 
     endpoint: str
     address: str
     failure_domain: str
-    estimate: float
+    sent: views.Sent
 
 
 def hash_text(text: str) -> int:
@@ -89,24 +99,30 @@
         self._chooser = chooser
         self._rings: dict[str, _Ring] = {}
         self._generation = -1
+        self._cached: collections.OrderedDict[int, str] = (
+            collections.OrderedDict()
+        )
 
     def choose(self, want: Want, now: float) -> Choice | None:
         """Choose an endpoint with room, or none.
 
-        The cost does not grow with the number of endpoints unless the few
-        candidates are all unusable.
+        The cost does not grow with the number of endpoints; if the few
+        candidates are all unusable, a bounded number of others is tried.
         """
         ring = self._ring(want.group)
         if ring is None:
             return None
+        self.view.refresh(ring.loads, now)
         place = hash_text(want.prefix[:PREFIX_CHARACTERS])
-        near = ring.near(place, NEAR_CANDIDATES)
-        fitting = self._fitting(near + self._random(ring), want, now)
-        if not fitting:
-            fitting = self._fitting(ring.loads, want, now)
-        if not fitting:
-            return None
-        return self._best(fitting, near, want, now)
+        candidates = ring.near(place, NEAR_CANDIDATES)
+        candidates += self._random(ring, RANDOM_CANDIDATES)
+        best = self._best(candidates, want, place, now)
+        if best is None:
+            others = self._random(ring, FURTHER_CANDIDATES)
+            best = self._best(others, want, place, now)
+        if best is not None:
+            self._remember(place, best.endpoint)
+        return best
 
     def has_group(self, group: str) -> bool:
         """Tell whether any endpoint serves a group."""
@@ -121,53 +137,69 @@
             self._generation = self.view.generation
         return self._rings.get(group)
 
-    def _random(self, ring: _Ring) -> list[views.Load]:
+    def _random(self, ring: _Ring, wanted: int) -> list[views.Load]:
         count = len(ring.loads)
+        if count <= wanted:
+            return ring.loads
         return [
             ring.loads[int(self._chooser.random() * count)]
-            for _ in range(RANDOM_CANDIDATES)
+            for _ in range(wanted)
         ]
 
-    def _fitting(
-        self, loads: list[views.Load], want: Want, now: float
-    ) -> list[views.Load]:
-        usable = [
-            load
-            for load in loads
-            if self.view.is_usable(load, now)
-            and load.has_room()
-            and load.entry.endpoint not in want.avoid
-        ]
-        elsewhere = [
-            load
-            for load in usable
-            if load.entry.failure_domain not in want.avoid_domains
-        ]
-        return elsewhere or usable
-
     def _best(
         self,
-        fitting: list[views.Load],
-        near: list[views.Load],
+        candidates: list[views.Load],
         want: Want,
+        place: int,
         now: float,
-    ) -> Choice:
-        def estimate(load: views.Load) -> float:
-            return _estimate(load, load in near, want, now)
-
-        best = min(fitting, key=estimate)
-        return Choice(
-            best.entry.endpoint,
-            best.entry.address,
-            best.entry.failure_domain,
-            best.first_token_seconds(want.prompt_tokens),
-        )
-
-
-def _estimate(load: views.Load, near: bool, want: Want, now: float) -> float:
-    tokens = want.prompt_tokens
-    if near:
-        tokens = int(tokens * (1 - CACHED_SHARE))
-    warm = (now - load.since) / views.WARM_UP_SECONDS
-    share = min(1.0, max(views.COLDEST_SHARE, warm))
-    return load.first_token_seconds(tokens) / share
+    ) -> Choice | None:
+        best = None
+        shortest = float('inf')
+        for load in candidates:
+            if not self._may_serve(load, want, now):
+                continue
+            seconds = self._estimate(load, want, place, now)
+            if seconds > want.within:
+                continue
+            if load.entry.failure_domain in want.avoid_domains:
+                seconds += OTHER_DOMAIN_SECONDS
+            if seconds < shortest:
+                best = load
+                shortest = seconds
+        return None if best is None else _make_choice(best, want, now)
+
+    def _may_serve(self, load: views.Load, want: Want, now: float) -> bool:
+        if load.entry.endpoint in want.avoid:
+            return False
+        return load.has_room() and self.view.is_usable(load, now)
+
+    def _estimate(
+        self, load: views.Load, want: Want, place: int, now: float
+    ) -> float:
+        tokens = want.prompt_tokens
+        if self._cached.get(place) == load.entry.endpoint:
+            tokens = int(tokens * (1 - CACHED_SHARE))
+        warm = (now - load.since) / views.WARM_UP_SECONDS
+        share = min(1.0, max(views.COLDEST_SHARE, warm))
+        return load.first_token_seconds(tokens, now) / share
+
+    def _remember(self, place: int, endpoint: str) -> None:
+        self._cached[place] = endpoint
+        self._cached.move_to_end(place)
+        if len(self._cached) > REMEMBERED_PREFIXES:
+            self._cached.popitem(last=False)
+
+
+def _make_choice(load: views.Load, want: Want, now: float) -> Choice:
+    sent = views.Sent(
+        load.entry.endpoint,
+        want.prompt_tokens,
+        load.first_token_seconds(want.prompt_tokens, now),
+        load.late(now),
+    )
+    return Choice(
+        load.entry.endpoint,
+        load.entry.address,
+        load.entry.failure_domain,
+        sent,
+    )
--- a/src/cairnloom/routing/views.py
+++ b/src/cairnloom/routing/views.py
@@ -1,7 +1,11 @@
 """One process's view of the endpoints, older than the truth.
 
-Reports arrive late, so the view adds what this process sent since. Failures
-eject an endpoint for a while, up to a share of its group.
+What this process has sent is known exactly. What others sent is known only
+from load reports that arrive late, and gateways that all follow the same old
+report turn to the same endpoint together. So the work of others is taken as
+spread evenly over a group's capacity; how an endpoint differs from that, and
+how late its first tokens come, is learned slowly. Failures eject an endpoint
+for a while, up to a share of its group.
 """
 
 import dataclasses
@@ -14,47 +18,97 @@
 LARGEST_EJECTED_SHARE = 0.5
 WARM_UP_SECONDS = 5.0
 COLDEST_SHARE = 0.2
-STALE_REPORT_SECONDS = 15.0
-SLOWNESS_WEIGHT = 0.2
+SPREAD_SECONDS = 0.25
+DIFFERENCE_WEIGHT = 0.03
+DELAY_WEIGHT = 0.05
+SERVICE_WEIGHT = 0.1
+FIRST_SERVICE_SECONDS = 2.0
+LARGEST_CROWD = 2.0
+LARGEST_DELAY_SECONDS = 60.0
+DELAY_HALF_LIFE_SECONDS = 10.0
+
+
+@dataclasses.dataclass
+class Spread:
+    """The work of others in a group, spread evenly over its capacity.
+
+    ``running`` is in requests a slot, ``prefill_seconds`` in seconds of
+    queued prompts.
+    """
+
+    running: float = 0.0
+    prefill_seconds: float = 0.0
+    at: float = float('-inf')
 
 
 @dataclasses.dataclass
 class Load:
     """What is known of one endpoint's load.
 
-    ``slowness`` is how many times longer first tokens took than estimated.
+    ``own_prefill`` counts the prompt tokens of own requests that have no
+    first token yet; ``delay`` is how much later, in seconds, first tokens
+    came than was estimated.
     """
 
     entry: services.EndpointEntry
     report: engines.LoadReport
     since: float
-    report_at: float
+    reported: bool = False
+    service_seconds: float = FIRST_SERVICE_SECONDS
     own_running: int = 0
     own_prefill: int = 0
-    own_at_report: int = 0
-    sent_prefill: int = 0
-    slowness: float = 1.0
+    spread: Spread = dataclasses.field(default_factory=Spread)
+    seen_running: int = 0
+    seen_prefill: int = 0
+    more_running: float = 0.0
+    more_prefill_seconds: float = 0.0
+    delay: float = 0.0
+    delay_at: float = 0.0
     failures: int = 0
     ejected_until: float = float('-inf')
     draining: bool = False
 
-    def running(self) -> int:
+    def running(self) -> float:
         """Estimate the requests the endpoint runs now."""
-        others = max(0, self.report.running - self.own_at_report)
-        return others + self.own_running
+        others = self.spread.running * self.report.slots + self.more_running
+        return max(0.0, others) + self.own_running
 
     def has_room(self) -> bool:
-        """Tell whether a slot seems to be free."""
-        return self.running() < self.report.slots
+        """Tell whether the endpoint may take more, waiting included."""
+        return self.running() < LARGEST_CROWD * self.report.slots
 
-    def first_token_seconds(self, tokens: int) -> float:
+    def first_token_seconds(self, tokens: int, now: float) -> float:
         """Estimate the time to the first token of a prompt."""
-        queued = self.report.queued_prefill_tokens + self.sent_prefill
-        rate = self.report.prefill_tokens_per_second
-        prefill = (queued + tokens) / rate
-        pressure = self.report.seconds_per_token * self.running()
-        crowd = pressure / max(1, self.report.slots)
-        return (prefill + crowd) * self.slowness
+        others = self.spread.prefill_seconds + self.more_prefill_seconds
+        own = self.own_prefill + tokens
+        prefill = max(0.0, others) + own / self.prefill_rate()
+        started = self.slot_seconds() + prefill
+        return started + self.report.seconds_per_token + self.late(now)
+
+    def prefill_rate(self) -> float:
+        """Return the prompt tokens a second."""
+        return self.report.prefill_tokens_per_second
+
+    def slot_seconds(self) -> float:
+        """Estimate the wait until one of the slots is free."""
+        slots = max(1, self.report.slots)
+        ahead = self.running() + 1 - slots
+        return max(0.0, ahead) * self.service_seconds / slots
+
+    def late(self, now: float) -> float:
+        """Return the delay seen of late, which fades without news."""
+        halves = (now - self.delay_at) / DELAY_HALF_LIFE_SECONDS
+        return max(0.0, self.delay) * 0.5**halves
+
+
+@dataclasses.dataclass(frozen=True)
+class Sent:
+    """A request that was sent, and the estimate that spoke for it."""
+
+    endpoint: str
+    prefill_tokens: int
+    estimate: float
+    expected_delay: float
 
 
 class View:
@@ -87,9 +141,25 @@
         if load.report.model != report.model:
             self.generation += 1
         load.report = report
-        load.report_at = now
-        load.own_at_report = load.own_running
-        load.sent_prefill = 0
+        load.reported = True
+        load.seen_running = max(0, report.running - load.own_running)
+        load.seen_prefill = max(
+            0, report.queued_prefill_tokens - load.own_prefill
+        )
+        self._learn_difference(load)
+
+    def refresh(self, loads: list[Load], now: float) -> None:
+        """Spread the work of others over a group, if it is time to."""
+        if not loads or now - loads[0].spread.at < SPREAD_SECONDS:
+            return
+        usable = [load for load in loads if self.is_usable(load, now)]
+        slots = sum(load.report.slots for load in usable)
+        rate = sum(load.prefill_rate() for load in usable)
+        running = sum(load.seen_running for load in usable)
+        prefill = sum(load.seen_prefill for load in usable)
+        spread = Spread(running / max(1, slots), prefill / max(1.0, rate), now)
+        for load in loads:
+            load.spread = spread
 
     def drain(self, endpoint: str, until: float) -> None:
         """Give an endpoint no new work until a time."""
@@ -117,30 +187,34 @@
         load = self._loads.get(endpoint)
         if load is not None:
             load.own_running += 1
-            load.sent_prefill += prefill_tokens
+            load.own_prefill += prefill_tokens
 
-    def note_first_token(
-        self, endpoint: str, seconds: float, estimate: float
-    ) -> None:
+    def note_first_token(self, sent: Sent, seconds: float, now: float) -> None:
         """Correct the estimate by how long the first token really took."""
-        load = self._loads.get(endpoint)
-        if load is None or estimate <= 0:
+        load = self._loads.get(sent.endpoint)
+        if load is None:
             return
-        seen = load.slowness * seconds / estimate
-        change = SLOWNESS_WEIGHT * (seen - load.slowness)
-        load.slowness = min(100.0, max(0.1, load.slowness + change))
-
-    def finish(self, endpoint: str) -> None:
-        """Note that a request has ended, well or not."""
+        load.own_prefill = max(0, load.own_prefill - sent.prefill_tokens)
+        plain = sent.estimate - sent.expected_delay
+        late = min(LARGEST_DELAY_SECONDS, seconds - plain)
+        old = load.late(now)
+        load.delay = old + DELAY_WEIGHT * (late - old)
+        load.delay_at = now
+
+    def finish(self, endpoint: str, prefill_left: int = 0) -> None:
+        """Note that a request has ended, with tokens it had not begun."""
         load = self._loads.get(endpoint)
         if load is not None:
             load.own_running = max(0, load.own_running - 1)
+            load.own_prefill = max(0, load.own_prefill - prefill_left)
 
-    def note_success(self, endpoint: str) -> None:
-        """Note a whole answer."""
+    def note_success(self, endpoint: str, seconds: float) -> None:
+        """Note a whole answer and how long it took."""
         load = self._loads.get(endpoint)
         if load is not None:
             load.failures = 0
+            change = seconds - load.service_seconds
+            load.service_seconds += SERVICE_WEIGHT * change
 
     def note_failure(self, endpoint: str, now: float) -> None:
         """Note a failed attempt; several in a row eject the endpoint."""
@@ -174,13 +248,22 @@
         """Return one endpoint, if it is known."""
         return self._loads.get(endpoint)
 
+    def _learn_difference(self, load: Load) -> None:
+        even = load.spread.running * load.report.slots
+        change = load.seen_running - even - load.more_running
+        load.more_running += DIFFERENCE_WEIGHT * change
+        seconds = load.seen_prefill / load.prefill_rate()
+        even = load.spread.prefill_seconds
+        change = seconds - even - load.more_prefill_seconds
+        load.more_prefill_seconds += DIFFERENCE_WEIGHT * change
+
     def _list_one(self, entry: services.EndpointEntry, now: float) -> None:
         load = self._loads.get(entry.endpoint)
         if load is None or load.entry.address != entry.address:
             report = engines.LoadReport(entry.model, slots=0)
             if entry.kind == 'service':
                 report = engines.LoadReport(entry.model, slots=1024)
-            self._loads[entry.endpoint] = Load(entry, report, now, now)
+            self._loads[entry.endpoint] = Load(entry, report, now)
             self.generation += 1
             return
         load.entry = entry
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -11,6 +11,7 @@
 TIMING = {'usage_window': 2.0, 'seal_grace': 1.0, 'usage_flush': 0.3}
 BOUND_SECONDS = 3.0
 SLOW = {'decode_seconds_per_token': 0.05}
+TIGHT = {'prefill_tokens_per_second': 2000.0, 'role_change_seconds': 1.0}
 
 
 @pytest.fixture
@@ -287,3 +288,58 @@
     (first, second)[holder].signal(signal.SIGCONT)
     time.sleep(0.6)
     assert fences()[holder] is None
+
+
+def test_drained_endpoint_is_empty_and_its_answers_whole(system):
+    expected = words_of(system.ask('host-1', system.key, max_tokens=80))
+    asking = Asking(system, 'host-1', system.key, max_tokens=80)
+    processes.until(lambda: running(system, 'host-1') == 1)
+    time.sleep(0.5)
+    busy = [
+        item['endpoint']
+        for item in system.state('host-1')['endpoints']
+        if item['own_running'] and item['kind'] == 'engine'
+    ]
+    drain = {'endpoint': busy[0], 'fence': 1, 'seconds': 5, 'move': True}
+    processes.call(system.admin('host-1') + '/peer/drain', drain)
+
+    def left():
+        _, _, reply = processes.call(
+            system.admin('host-1') + '/peer/drain', drain
+        )
+        return json.loads(reply)['running']
+
+    assert processes.until(lambda: left() == 0) < 1.0
+    assert words_of(asking.ended()) == expected
+
+
+def test_role_follows_the_mix_and_cuts_nothing():
+    with processes.System(2, standin=TIGHT, timing=TIMING) as system:
+        key = system.configure()
+        system.start_other('cairnloom-controller', 'host-1')
+        asking = []
+        until = time.monotonic() + 20
+
+        def ordered():
+            return sum(
+                len(item) for item in system.record()['orders'].values()
+            )
+
+        while time.monotonic() < until and not ordered():
+            host = 'host-%d' % (len(asking) % 2 + 1)
+            asking.append(
+                Asking(system, host, key, prompt='mold ' * 400, max_tokens=4)
+            )
+            time.sleep(0.1)
+        assert ordered() >= 1
+        time.sleep(3.0)
+        assert system.record()['cut_by_order'] == 0
+        for item in asking:
+            status, _, body = item.ended()
+            assert status in (200, 429), body
+        roles = [
+            item['role']
+            for item in system.state('host-1')['endpoints']
+            if item['kind'] == 'engine'
+        ]
+        assert 'prefill' in roles
