Take other gateways to have sent as much as this one, not what reports say

Cause: a report of 1 to 10 s ago was taken as the work of others now, so a late report held work back or sent it to a full engine.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup run demo test check format bench bench-control capacity fuzz clean
+.PHONY: setup run demo test check format bench bench-control \
+    bench-policy capacity fuzz clean
 
 setup: $(VENV)/.ready
 
@@ -51,3 +52,6 @@
 	    tests/test_orders.py tests/test_claims.py \
 	    tests/test_configuration.py tests/test_usage.py \
 	    -k "not careless" || test $$? -eq 124
+
+bench-policy: setup
+	$(BIN)/python bench/policy.py
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -119,13 +119,13 @@
         self.running[request.number] = done
         pace = self.settings['token'] * self.slowdown
         first = self.prefill_free + pace
-        self.clock.at(first, self._first, request, told)
+        self.clock.at(first, self._first, request, told, request.resumed)
         left = request.output if request.left is None else request.left
         ended = first + pace * max(0, left - 1)
         self.clock.at(ended, self._end, request, request.resumed)
 
-    def _first(self, request, told):
-        if request.number in self.running:
+    def _first(self, request, told, resumed):
+        if request.number in self.running and request.resumed == resumed:
             if request.first_token is None:
                 request.first_token = self.clock.now
             told()
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -122,6 +122,7 @@
     def __init__(self, world, number):
         self.world = world
         self.view = views.View()
+        self.view.gateways = world.gateway_count
         self.router = choice.Router(self.view, random.Random(number))
         self.queue = queues.FairQueue()
         self.gate = gates.Gate(self.queue, self.router, 100000)
@@ -152,7 +153,7 @@
             request.target,
             choice.Want(fleet.MODEL, request.prompt, str(request.number)),
             queues.cost(request.prompt, expected),
-            continuing=request.resumed > 0,
+            continuing=request.first_token is not None,
         )
         self.requests[work.request_id] = (request, work)
         if self.gate.submit(work, self.world.clock.now) is not None:
@@ -167,7 +168,7 @@
             passed = self.world.clock.now - request.first_token
             done = min(request.output - 1, int(passed / ENGINE['token']))
             request.left = request.output - done
-            request.resumed += 1
+        request.resumed += 1
         self.ask(request)
         self.offered = before
 
@@ -255,6 +256,7 @@
             for number in range(ENGINES)
         }
         count = 1 if policy.planner == 'known' else GATEWAYS
+        self.gateway_count = count
         self.gateways = [Gateway(self, number) for number in range(count)]
         self.requests = offered(scenario, seed)
         self.chance = random.Random(seed + 100)
--- a/src/cairnloom/gateway/exchange.py
+++ b/src/cairnloom/gateway/exchange.py
@@ -73,6 +73,7 @@
         assert members is not None
         now = self._state.now()
         members.beat(now)
+        self._state.view.gateways = max(1, len(members.live(now)))
         members.prune(now)
         addresses = members.peers(now)
         if not self._is_fresh_enough():
--- a/src/cairnloom/routing/views.py
+++ b/src/cairnloom/routing/views.py
@@ -1,11 +1,11 @@
 """One process's view of the endpoints, older than the truth.
 
-What this process has sent is known exactly. What others sent is known only
-from load reports that arrive late, and gateways that all follow the same old
-report turn to the same endpoint together. So the work of others is taken as
-spread evenly over a group's capacity; how an endpoint differs from that, and
-how late its first tokens come, is learned slowly. Failures eject an endpoint
-for a while, up to a share of its group.
+What this process has sent is known exactly. Load reports arrive late, and
+gateways that all follow the same old report turn to the same endpoint
+together. So every other gateway is taken to have sent as much as this one,
+spread evenly over a group's capacity; how an endpoint differs from that, by
+its reports and by how late its first tokens come, is learned slowly. Failures
+eject an endpoint for a while, up to a share of its group.
 """
 
 import dataclasses
@@ -19,7 +19,7 @@
 WARM_UP_SECONDS = 5.0
 COLDEST_SHARE = 0.2
 SPREAD_SECONDS = 0.25
-DIFFERENCE_WEIGHT = 0.03
+DIFFERENCE_WEIGHT = 0.003
 DELAY_WEIGHT = 0.05
 SERVICE_WEIGHT = 0.1
 FIRST_SERVICE_SECONDS = 2.0
@@ -33,11 +33,13 @@
     """The work of others in a group, spread evenly over its capacity.
 
     ``running`` is in requests a slot, ``prefill_seconds`` in seconds of
-    queued prompts.
+    queued prompts; both are of now. What was reported is older.
     """
 
     running: float = 0.0
     prefill_seconds: float = 0.0
+    reported_running: float = 0.0
+    reported_prefill_seconds: float = 0.0
     at: float = float('-inf')
 
 
@@ -118,6 +120,7 @@
         self._loads: dict[str, Load] = {}
         self._draining: dict[str, float] = {}
         self.generation = 0
+        self.gateways = 1
 
     def list_endpoints(
         self, entries: list[services.EndpointEntry], now: float
@@ -155,9 +158,19 @@
         usable = [load for load in loads if self.is_usable(load, now)]
         slots = sum(load.report.slots for load in usable)
         rate = sum(load.prefill_rate() for load in usable)
-        running = sum(load.seen_running for load in usable)
-        prefill = sum(load.seen_prefill for load in usable)
-        spread = Spread(running / max(1, slots), prefill / max(1.0, rate), now)
+        slots = max(1, slots)
+        rate = max(1.0, rate)
+        others = self.gateways - 1
+        spread = Spread(
+            running=others * sum(load.own_running for load in usable) / slots,
+            prefill_seconds=others
+            * sum(load.own_prefill for load in usable)
+            / rate,
+            reported_running=sum(load.seen_running for load in usable) / slots,
+            reported_prefill_seconds=sum(load.seen_prefill for load in usable)
+            / rate,
+            at=now,
+        )
         for load in loads:
             load.spread = spread
 
@@ -249,11 +262,11 @@
         return self._loads.get(endpoint)
 
     def _learn_difference(self, load: Load) -> None:
-        even = load.spread.running * load.report.slots
+        even = load.spread.reported_running * load.report.slots
         change = load.seen_running - even - load.more_running
         load.more_running += DIFFERENCE_WEIGHT * change
         seconds = load.seen_prefill / load.prefill_rate()
-        even = load.spread.prefill_seconds
+        even = load.spread.reported_prefill_seconds
         change = seconds - even - load.more_prefill_seconds
         load.more_prefill_seconds += DIFFERENCE_WEIGHT * change
 
