--- a/src/cairnloom/admission/gates.py
+++ b/src/cairnloom/admission/gates.py
@@ -18,6 +18,8 @@
 SMALLEST_RETRY_SECONDS = 1.0
 LONGEST_RETRY_SECONDS = 60.0
 CONTINUING_SECONDS = 15.0
+CLASS_SECONDS = 30.0
+WAIT_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,6 +65,14 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True)
+class _Seen:
+    """A class's target, and when the class last had a request."""
+
+    first_token_seconds: float
+    at: float
+
+
 class _Rate:
     """The work that was started for a group in the last seconds."""
 
@@ -99,6 +109,7 @@
         self._works: dict[str, Work] = {}
         self._rates: dict[str, _Rate] = {}
         self._continuing: dict[str, _Continuing] = {}
+        self._classes: dict[str, dict[str, _Seen]] = {}
 
     def __len__(self) -> int:
         return len(self._works) + len(self._continuing)
@@ -112,6 +123,8 @@
         if len(self._works) >= self._bound or self._is_hopeless(work):
             return self._refuse(work)
         self._works[work.request_id] = work
+        classes = self._classes.setdefault(work.want.group, {})
+        classes[work.class_name] = _Seen(work.first_token_seconds, now)
         self._queue.add(_waiting(work, now))
         return None
 
@@ -160,7 +173,11 @@
     def _start_one(self, now: float) -> Granted | None:
         for item in self._queue.heads():
             work = self._works[item.request_id]
-            want = dataclasses.replace(work.want, within=item.deadline - now)
+            want = dataclasses.replace(
+                work.want,
+                within=item.deadline - now,
+                wait_within=self._longest_wait(item.group, now),
+            )
             chosen = self._router.choose(want, now)
             if chosen is not None:
                 return self._grant(item, work, chosen, now)
@@ -183,6 +200,18 @@
             rate.add(work.tokens, now)
         return Granted(work, chosen)
 
+    def _longest_wait(self, group: str, now: float) -> float:
+        # Work with a long target would fill the endpoints' own queues until
+        # work with a short one could not be in time anywhere. So all of it
+        # waits here, in fair order, but for a part of the shortest target.
+        classes = self._classes.get(group, {})
+        targets = [
+            seen.first_token_seconds
+            for seen in classes.values()
+            if now - seen.at < CLASS_SECONDS
+        ]
+        return WAIT_SHARE * min(targets, default=float('inf'))
+
     def _is_hopeless(self, work: Work) -> bool:
         rate = self._rate(work.want.group)
         if rate <= 0:
--- a/src/cairnloom/controller/compaction.py
+++ b/src/cairnloom/controller/compaction.py
@@ -3,11 +3,10 @@
 from .. import exceptions
 from ..coordination import actions
 from ..coordination import configuration
-from ..coordination import documents
-from ..coordination import events
 from ..coordination import rows
 from ..protocol import codec
 from ..runtime import logs
+from ..runtime import replication
 
 from . import state
 
@@ -20,36 +19,21 @@
     def __init__(self, shared: state.ControllerState) -> None:
         self._state = shared
         self._count = 0
+        self._replication = replication.Replication(
+            shared.runner, shared.objects, shared.replica
+        )
 
     async def round(self) -> None:
         """Catch up; store a snapshot when enough versions have come."""
-        event = await self._state.runner.perform(
-            actions.Read(configuration.HEAD_KEY)
-        )
-        if not isinstance(event, events.ReadDone):
+        event = await self._replication.read_head()
+        if event is None:
             return
-        await self._catch_up(event)
         head = configuration.read_head(event.row)
         if head.version - head.snapshot < VERSIONS_PER_SNAPSHOT:
             return
         if self._state.replica.version == head.version:
             await self._store(event.row, head)
 
-    async def _catch_up(self, event: events.TableEvent) -> None:
-        replica = self._state.replica
-        others = await self._state.runner.drive(
-            replica.step(event), replica.step
-        )
-        for action in others:
-            if isinstance(action, configuration.FetchSnapshot):
-                name = configuration.snapshot_name(action.version)
-                body = await self._state.objects.get(name)
-                snapshot = codec.decode(documents.Snapshot, body)
-                await self._state.runner.drive(
-                    replica.step(configuration.SnapshotRead(snapshot)),
-                    replica.step,
-                )
-
     async def _store(self, row: rows.Row, head: configuration.Head) -> None:
         authority = self._state.leadership.authority()
         if authority is None:
--- a/src/cairnloom/controller/orders.py
+++ b/src/cairnloom/controller/orders.py
@@ -4,8 +4,6 @@
 import dataclasses
 from typing import Any
 
-from twisted.internet import defer
-
 from .. import exceptions
 from ..coordination import actions
 from ..coordination import events
@@ -15,6 +13,7 @@
 from ..protocol import codec
 from ..protocol import messages
 from ..runtime import logs
+from ..runtime import waiting
 
 from . import state
 
@@ -243,9 +242,7 @@
             self._ask_gateway(host.address, drain.endpoint)
             for host in self._state.hosts
         ]
-        running: list[Any] = [defer.ensureDeferred(call) for call in calls]
-        ended = await defer.DeferredList(running, consumeErrors=True)
-        counts = [value if success else None for success, value in ended]
+        counts = await waiting.gather(calls)
         if any(count for count in counts):
             return False
         if any(count is None for count in counts):
--- a/src/cairnloom/controller/plans.py
+++ b/src/cairnloom/controller/plans.py
@@ -2,8 +2,6 @@
 
 from typing import Any
 
-from twisted.internet import defer
-
 from .. import exceptions
 from ..coordination import orders
 from ..planning import counts
@@ -11,6 +9,7 @@
 from ..planning import roles
 from ..protocol import codec
 from ..protocol import messages
+from ..runtime import waiting
 
 from . import orders as order_task
 from . import state
@@ -55,8 +54,7 @@
             if entry.kind == 'engine'
         ]
         reading = [self._read_engine(entry) for entry in entries]
-        found = await _gather(reading)
-        return [item for item in found if item is not None]
+        return await waiting.gather_whole(reading)
 
     async def _read_engine(self, entry: Any) -> fleets.Engine | None:
         try:
@@ -87,7 +85,7 @@
             self._read_gateway(host.address) for host in self._state.hosts
         ]
         totals: dict[tuple[str, str], fleets.Mix] = {}
-        for demand in await _gather(reading):
+        for demand in await waiting.gather_whole(reading):
             source = '%s.%d' % (demand.host, demand.incarnation)
             for item in demand.models:
                 totals[(source, item.model)] = fleets.Mix(
@@ -170,9 +168,3 @@
             domains = sorted({item.failure_domain for item in self.fleet})
             self._counts = counts.CountPlanner(counts.CountSettings(), domains)
         return self._counts
-
-
-async def _gather(calls: list[Any]) -> list[Any]:
-    running: list[Any] = [defer.ensureDeferred(call) for call in calls]
-    ended = await defer.DeferredList(running, consumeErrors=True)
-    return [value for success, value in ended if success]
--- a/src/cairnloom/coordination/__init__.py
+++ b/src/cairnloom/coordination/__init__.py
@@ -14,6 +14,7 @@
 from . import membership
 from . import orders
 from . import rows
+from . import sealing
 from . import usage
 
 __all__ = [
@@ -26,5 +27,6 @@
     'membership',
     'orders',
     'rows',
+    'sealing',
     'usage',
 ]
--- a/src/cairnloom/coordination/usage.py
+++ b/src/cairnloom/coordination/usage.py
@@ -13,7 +13,6 @@
 
 from . import actions
 from . import events
-from . import leases
 from . import rows
 
 
@@ -58,20 +57,6 @@
     next_window: int
 
 
-@dataclasses.dataclass(frozen=True)
-class SendReport:
-    """Send these figures; they stand in the table already."""
-
-    report: Report
-
-
-@dataclasses.dataclass(frozen=True)
-class Reported:
-    """The intake took the report of a window."""
-
-    window: int
-
-
 PROGRESS_KEY = 'usage/progress'
 
 
@@ -279,96 +264,3 @@
         if left != Figures():
             rest[team] = left
     return rest
-
-
-class WindowSealer:
-    """The reporter's side of one window: seal, add up, report.
-
-    Each step follows from the window's row, so a successor goes on where
-    the former holder of the lease stopped.
-    """
-
-    def __init__(self, owner: str, window: int) -> None:
-        self.window = window
-        self.done = False
-        self._owner = owner
-        self._row = rows.Row(window_key(window))
-        self._writes = 0
-
-    def start(self) -> list[actions.TableAction]:
-        """Look where this window stands."""
-        return [actions.Read(window_key(self.window))]
-
-    def step(
-        self,
-        event: events.TableEvent | Reported,
-        authority: leases.Authority | None,
-    ) -> list[actions.TableAction | SendReport]:
-        """Take one event under the authority held now, if any."""
-        if authority is None:
-            return []
-        match event:
-            case events.ReadDone(row=row):
-                self._row = row
-                return self._go_on(authority)
-            case events.CommitDone():
-                return [actions.Read(window_key(self.window))]
-            case events.CommitConflict() | events.CommitUnknown():
-                return [actions.Read(window_key(self.window))]
-            case events.ScanDone(rows=parts):
-                return [self._write_figures(parts, authority)]
-            case Reported():
-                return [self._write_reported(authority)]
-            case _:
-                return []
-
-    def _go_on(
-        self, authority: leases.Authority
-    ) -> list[actions.TableAction | SendReport]:
-        if self._row.version == rows.ABSENT:
-            return [
-                self._write(WindowRow('sealed', authority.fence), authority)
-            ]
-        value = self._value()
-        match value.state:
-            case 'sealed':
-                return [actions.Scan(part_prefix(self.window))]
-            case 'final':
-                return [self._report(value, authority)]
-            case 'reported':
-                self.done = True
-        return []
-
-    def _report(
-        self, value: WindowRow, authority: leases.Authority
-    ) -> SendReport:
-        return SendReport(Report(self.window, authority.fence, value.teams))
-
-    def _write_figures(
-        self, parts: list[rows.Row], authority: leases.Authority
-    ) -> actions.Commit:
-        teams: dict[str, Figures] = {}
-        for part in parts:
-            merge(teams, codec.decode_value(PartRow, part.value).teams)
-        return self._write(
-            WindowRow('final', authority.fence, teams), authority
-        )
-
-    def _write_reported(self, authority: leases.Authority) -> actions.Commit:
-        value = dataclasses.replace(self._value(), state='reported')
-        return self._write(value, authority)
-
-    def _value(self) -> WindowRow:
-        return codec.decode_value(WindowRow, self._row.value)
-
-    def _write(
-        self, value: WindowRow, authority: leases.Authority
-    ) -> actions.Commit:
-        self._writes += 1
-        write_id = '%s/w%d.%d' % (self._owner, self.window, self._writes)
-        write = rows.Write(
-            self._row.key, codec.encode_value(value), self._row.version
-        )
-        return actions.Commit(
-            rows.Transaction(write_id, [write], [authority.check])
-        )
--- a/src/cairnloom/gateway/exchange.py
+++ b/src/cairnloom/gateway/exchange.py
@@ -1,20 +1,16 @@
 """The task that speaks with peers and keeps the configuration up to date."""
 
 import random
-from typing import Any
 from urllib import parse
 
-from twisted.internet import defer
-
 from .. import exceptions
-from ..coordination import actions
 from ..coordination import configuration
-from ..coordination import documents
-from ..coordination import events
 from ..coordination import freshness
 from ..protocol import codec
 from ..protocol import messages
 from ..protocol import server
+from ..runtime import replication
+from ..runtime import waiting
 
 from . import front
 from . import state
@@ -32,6 +28,9 @@
         self._state = shared
         self._front = served
         self._host_list_rounds = 0
+        self._replication = replication.Replication(
+            shared.runner, shared.objects, shared.replica
+        )
 
     def handlers(self) -> dict[str, server.Handler]:
         """Return what peers call."""
@@ -54,13 +53,12 @@
 
     async def read_head(self) -> None:
         """Read the head and catch up with it."""
-        event = await self._state.runner.perform(
-            actions.Read(configuration.HEAD_KEY)
-        )
-        if not isinstance(event, events.ReadDone):
+        before = self._state.replica.version
+        event = await self._replication.read_head()
+        self._after_change(before)
+        if event is None:
             self._state.metrics.count('table_failed')
             return
-        await self._catch_up(event)
         head = configuration.read_head(event.row)
         self._state.freshness.note_table_read(
             event.sent_at, head.version, self._state.replica.version
@@ -78,7 +76,7 @@
         addresses = members.peers(now)
         if not self._is_fresh_enough():
             addresses = members.peers(now) + addresses
-        await self._all(
+        await waiting.gather(
             [self._exchange_with(address) for address in set(addresses)]
         )
 
@@ -92,7 +90,7 @@
             if member.host != self._state.settings.host
         ]
         body = codec.encode(configuration.Deltas([delta]))
-        results = await self._all(
+        results = await waiting.gather_whole(
             [self._push_to(address, body) for address in others]
         )
         return 1 + sum(1 for held in results if held >= delta.version)
@@ -107,29 +105,6 @@
         bound = self._state.settings.timing.freshness / 2
         return self._state.freshness.age(self._state.now()) < bound
 
-    async def _catch_up(self, event: events.TableEvent) -> None:
-        before = self._state.replica.version
-        others = await self._state.runner.drive(
-            self._state.replica.step(event), self._state.replica.step
-        )
-        for action in others:
-            if isinstance(action, configuration.FetchSnapshot):
-                await self._fetch_snapshot(action.version)
-        self._after_change(before)
-
-    async def _fetch_snapshot(self, version: int) -> None:
-        name = configuration.snapshot_name(version)
-        try:
-            body = await self._state.objects.get(name)
-            snapshot = codec.decode(documents.Snapshot, body)
-        except (exceptions.PlatformError, exceptions.ProtocolError):
-            self._state.metrics.count('snapshot_failed')
-            return
-        await self._state.runner.drive(
-            self._state.replica.step(configuration.SnapshotRead(snapshot)),
-            self._state.replica.step,
-        )
-
     def _after_change(self, before: int) -> None:
         if self._state.replica.version == before:
             return
@@ -224,8 +199,3 @@
             self._state.settings.host, self._state.replica.version
         )
         return server.Answer(codec.encode(held))
-
-    async def _all(self, calls: list[Any]) -> list[Any]:
-        running: list[Any] = [defer.ensureDeferred(call) for call in calls]
-        ended = await defer.DeferredList(running, consumeErrors=True)
-        return [value for success, value in ended if success]
--- a/src/cairnloom/gateway/program.py
+++ b/src/cairnloom/gateway/program.py
@@ -9,6 +9,7 @@
 from ..runtime import admin
 from ..runtime import logs
 from ..runtime import programs
+from ..runtime import waiting
 
 from . import callers
 from . import changes
@@ -60,7 +61,7 @@
         self.state.health.leaving = True
         assert self.state.members is not None
         self.state.members.leave(self.state.now())
-        await programs.sleep(self._reactor, LEAVE_NOTICE_SECONDS)
+        await waiting.sleep(self._reactor, LEAVE_NOTICE_SECONDS)
         await self._caller_port.stopListening()
         await self._wait_for_requests()
         for loop in self._loops:
@@ -72,7 +73,7 @@
     async def _wait_for_requests(self) -> None:
         until = self.state.now() + self._settings.timing.drain
         while len(self.front.lives) and self.state.now() < until:
-            await programs.sleep(self._reactor, POLL_SECONDS)
+            await waiting.sleep(self._reactor, POLL_SECONDS)
         if len(self.front.lives):
             logs.note('cut_at_stop', requests=len(self.front.lives))
 
--- a/src/cairnloom/gateway/watch.py
+++ b/src/cairnloom/gateway/watch.py
@@ -1,12 +1,10 @@
 """The task that watches endpoints: the platform's list and load reports."""
 
 import random
-from typing import Any
-
-from twisted.internet import defer
 
 from .. import exceptions
 from ..routing import views
+from ..runtime import waiting
 
 from . import state
 
@@ -32,10 +30,7 @@
         ]
         count = min(REPORTS_PER_ROUND, len(engines))
         chosen = random.sample(engines, count)
-        readings: list[Any] = [
-            defer.ensureDeferred(self._read_load(load)) for load in chosen
-        ]
-        await defer.DeferredList(readings, consumeErrors=True)
+        await waiting.gather([self._read_load(load) for load in chosen])
 
     async def _read_list(self) -> None:
         try:
--- a/src/cairnloom/reporter/program.py
+++ b/src/cairnloom/reporter/program.py
@@ -8,6 +8,7 @@
 from ..coordination import actions
 from ..coordination import events
 from ..coordination import rows
+from ..coordination import sealing
 from ..coordination import usage
 from ..platform import services
 from ..platform import tables
@@ -120,7 +121,7 @@
         return int(time.time() / self._settings.timing.usage_window)
 
     async def _report(self, window: int) -> bool:
-        sealer = usage.WindowSealer(self._owner, window)
+        sealer = sealing.WindowSealer(self._owner, window)
         waiting: list[Any] = sealer.start()
 
         def step(event: Any) -> list[Any]:
@@ -131,12 +132,12 @@
             waiting = []
             for action in others:
                 if await self._send(action):
-                    waiting = step(usage.Reported(window))
+                    waiting = step(sealing.Reported(window))
         if sealer.done:
             self.metrics.count('windows_reported')
         return sealer.done
 
-    async def _send(self, action: usage.SendReport) -> bool:
+    async def _send(self, action: sealing.SendReport) -> bool:
         if self._leadership.authority() is None:
             return False
         try:
--- a/src/cairnloom/routing/choice.py
+++ b/src/cairnloom/routing/choice.py
@@ -37,7 +37,8 @@
     """What a request needs of an endpoint.
 
     ``within`` is the longest time to the first token, in seconds, that is
-    still of use.
+    still of use; ``wait_within`` the longest part of it that may be spent in
+    the endpoint's own queue.
     """
 
     group: str
@@ -46,6 +47,7 @@
     avoid: frozenset[str] = frozenset()
     avoid_domains: frozenset[str] = frozenset()
     within: float = float('inf')
+    wait_within: float = float('inf')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -171,7 +173,9 @@
     def _may_serve(self, load: views.Load, want: Want, now: float) -> bool:
         if load.entry.endpoint in want.avoid:
             return False
-        return load.has_room() and self.view.is_usable(load, now)
+        if not load.has_room() or not self.view.is_usable(load, now):
+            return False
+        return load.wait_seconds(now) <= want.wait_within
 
     def _estimate(
         self, load: views.Load, want: Want, place: int, now: float
--- a/src/cairnloom/routing/views.py
+++ b/src/cairnloom/routing/views.py
@@ -81,11 +81,15 @@
 
     def first_token_seconds(self, tokens: int, now: float) -> float:
         """Estimate the time to the first token of a prompt."""
+        prefill = tokens / self.prefill_rate()
+        return self.wait_seconds(now) + prefill + self.report.seconds_per_token
+
+    def wait_seconds(self, now: float) -> float:
+        """Estimate the time until the endpoint begins to read a prompt."""
         others = self.spread.prefill_seconds + self.more_prefill_seconds
-        own = self.own_prefill + tokens
-        prefill = max(0.0, others) + own / self.prefill_rate()
-        started = self.slot_seconds() + prefill
-        return started + self.report.seconds_per_token + self.late(now)
+        own = self.own_prefill / self.prefill_rate()
+        queued = max(0.0, others) + own
+        return self.slot_seconds() + queued + self.late(now)
 
     def prefill_rate(self) -> float:
         """Return the prompt tokens a second."""
--- a/src/cairnloom/runtime/programs.py
+++ b/src/cairnloom/runtime/programs.py
@@ -152,8 +152,3 @@
             kind=reason.type.__name__ if reason.type else '',
             where=reason.getTraceback()[-600:],
         )
-
-
-async def sleep(clock: Any, seconds: float) -> None:
-    """Wait on a clock."""
-    await task.deferLater(clock, seconds)
--- /dev/null
+++ b/src/cairnloom/runtime/replication.py
@@ -0,0 +1,58 @@
+"""Catch a replica of the configuration up with the table.
+
+Reads the head, then the snapshot from the object store if the replica is too
+far behind, then the versions that follow.
+"""
+
+from .. import exceptions
+from ..coordination import actions
+from ..coordination import configuration
+from ..coordination import documents
+from ..coordination import events
+from ..platform import services
+from ..protocol import codec
+
+from . import logs
+from . import runner
+
+
+class Replication:
+    """Own the reads that keep one replica up to date."""
+
+    def __init__(
+        self,
+        table: runner.Runner,
+        objects: services.Objects,
+        replica: configuration.Replica,
+    ) -> None:
+        self._runner = table
+        self._objects = objects
+        self._replica = replica
+
+    async def read_head(self) -> events.ReadDone | None:
+        """Catch up with the head; return it as read, if it was."""
+        event = await self._runner.perform(
+            actions.Read(configuration.HEAD_KEY)
+        )
+        if not isinstance(event, events.ReadDone):
+            return None
+        await self._feed(event)
+        return event
+
+    async def _feed(self, event: configuration.ReplicaEvent) -> None:
+        others = await self._runner.drive(
+            self._replica.step(event), self._replica.step
+        )
+        for action in others:
+            if isinstance(action, configuration.FetchSnapshot):
+                await self._fetch_snapshot(action.version)
+
+    async def _fetch_snapshot(self, version: int) -> None:
+        name = configuration.snapshot_name(version)
+        try:
+            body = await self._objects.get(name)
+            snapshot = codec.decode(documents.Snapshot, body)
+        except (exceptions.PlatformError, exceptions.ProtocolError) as fault:
+            logs.note('snapshot_failed', version=version, reason=str(fault))
+            return
+        await self._feed(configuration.SnapshotRead(snapshot))
--- /dev/null
+++ b/src/cairnloom/runtime/waiting.py
@@ -0,0 +1,28 @@
+"""Waiting for time, and for several coroutines at once."""
+
+from typing import Any
+from typing import Awaitable
+
+from twisted.internet import defer
+from twisted.internet import task
+
+
+async def sleep(clock: Any, seconds: float) -> None:
+    """Wait on a clock."""
+    await task.deferLater(clock, seconds)
+
+
+async def gather(works: list[Any]) -> list[Any]:
+    """Run coroutines together; return their results, None for a failure."""
+    running: list[Any] = [_start(work) for work in works]
+    ended = await defer.DeferredList(running, consumeErrors=True)
+    return [value if success else None for success, value in ended]
+
+
+async def gather_whole(works: list[Any]) -> list[Any]:
+    """Run coroutines together; return the results of those that gave one."""
+    return [value for value in await gather(works) if value is not None]
+
+
+def _start(work: Awaitable[Any]) -> defer.Deferred[Any]:
+    return defer.ensureDeferred(work)  # type: ignore[arg-type]
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -14,6 +14,7 @@
 
 from cairnloom.coordination import events
 from cairnloom.coordination import leases
+from cairnloom.coordination import sealing
 from cairnloom.coordination import usage
 
 LAST_WINDOW = 40
@@ -35,7 +36,7 @@
         return commit
 
 
-class UnsealedSealer(usage.WindowSealer):
+class UnsealedSealer(sealing.WindowSealer):
     """A careless part: adds up the parts while the window is open."""
 
     def _go_on(self, authority):
@@ -105,7 +106,7 @@
         report = action.report
         known = self.machine.reports.setdefault(report.window, report.teams)
         assert known == report.teams, 'one window, two sets of figures'
-        self.inbox.append(usage.Reported(report.window))
+        self.inbox.append(sealing.Reported(report.window))
         self.drain_inbox()
 
 
@@ -123,7 +124,7 @@
 
     process_count = 4
     book_class = usage.UsageBook
-    sealer_class = usage.WindowSealer
+    sealer_class = sealing.WindowSealer
 
     def __init__(self):
         self.names = itertools.count(1)
@@ -228,7 +229,7 @@
                 assert found.decode_tokens <= process.recorded, 'overbilled'
 
 
-def make(book=usage.UsageBook, sealer=usage.WindowSealer):
+def make(book=usage.UsageBook, sealer=sealing.WindowSealer):
     return type(
         'Machine',
         (UsageMachine,),
