--- a/src/cairnloom/exceptions.py
+++ b/src/cairnloom/exceptions.py
@@ -27,12 +27,14 @@
 class TransportError(CairnloomError):
     """An HTTP exchange that gave no whole reply.
 
-    ``sent`` is false only when no byte of the request left this process.
+    ``sent`` is false only when no byte of the request left this process;
+    ``broken`` tells that the connection broke before a reply came.
     """
 
-    def __init__(self, reason: str, sent: bool) -> None:
+    def __init__(self, reason: str, sent: bool, broken: bool = False) -> None:
         super().__init__(reason)
         self.sent = sent
+        self.broken = broken
 
 
 class PlatformError(CairnloomError):
@@ -49,13 +51,21 @@
 class EndpointError(CairnloomError):
     """An endpoint that failed, refused or broke off.
 
-    ``ran`` is false only when the endpoint surely did not start the work.
+    ``ran`` is false only when the endpoint surely did not start the work;
+    ``broken`` tells that the connection broke, as it does in a crash.
     """
 
-    def __init__(self, reason: str, ran: bool, status: int = 502) -> None:
+    def __init__(
+        self,
+        reason: str,
+        ran: bool,
+        status: int = 502,
+        broken: bool = False,
+    ) -> None:
         super().__init__(reason)
         self.ran = ran
         self.status = status
+        self.broken = broken
 
 
 class CoordinationError(CairnloomError):
--- a/src/cairnloom/gateway/completions.py
+++ b/src/cairnloom/gateway/completions.py
@@ -203,7 +203,7 @@
             return
         now = self._state.now()
         self._state.view.note_failure(chosen.endpoint, now)
-        if fault.ran:
+        if fault.broken:
             self._state.quarantine.note_broken(
                 quarantine.Broken(
                     chosen.endpoint,
--- a/src/cairnloom/gateway/dispatch.py
+++ b/src/cairnloom/gateway/dispatch.py
@@ -79,14 +79,16 @@
         if self._ended and whole:
             self._settle()
             return
-        self.fail('answer broken off')
+        self.fail('answer broken off', broken=True)
 
-    def fail(self, reason: str) -> None:
+    def fail(self, reason: str, broken: bool = False) -> None:
         """End with a failure, unless it has ended already."""
         if self._idle.active():
             self._idle.cancel()
         if not self.done.called:
-            self.done.errback(exceptions.EndpointError(reason, ran=True))
+            self.done.errback(
+                exceptions.EndpointError(reason, ran=True, broken=broken)
+            )
 
     def _take_line(self, line: bytes) -> None:
         if self._ended or not line.startswith(DATA):
@@ -178,7 +180,9 @@
                 attempt.fresh,
             )
         except exceptions.TransportError as fault:
-            raise exceptions.EndpointError(str(fault), fault.sent) from fault
+            raise exceptions.EndpointError(
+                str(fault), fault.sent, broken=fault.broken
+            ) from fault
 
     async def _check_head(self, attempt: Attempt) -> None:
         assert self._reply is not None
--- a/src/cairnloom/protocol/client.py
+++ b/src/cairnloom/protocol/client.py
@@ -203,7 +203,7 @@
         except Exception as fault:
             sent = not isinstance(fault, _NOT_SENT)
             reason = type(fault).__name__
-            raise exceptions.TransportError(reason, sent) from fault
+            raise exceptions.TransportError(reason, sent, sent) from fault
         return StreamedReply(response)
 
     async def exchange(
--- a/src/cairnloom/standins/engine.py
+++ b/src/cairnloom/standins/engine.py
@@ -44,6 +44,7 @@
     prefill_free_at: float = 0.0
     slowdown: float = 1.0
     down: bool = False
+    crossed: int = 0
 
 
 class EngineResource(resource.Resource):
@@ -203,6 +204,10 @@
         self._place = int(resume or 0)
         self._open = True
         self._id = request.getHeader(engines.REQUEST_ID_HEADER) or 'none'
+        if engine.state.crossed > 0:
+            engine.state.crossed -= 1
+            self._id = 'of-another-request'
+            self._prompt = 'of another request'
         request.notifyFinish().addErrback(self._close)
         request.setHeader('content-type', 'text/event-stream')
         request.setHeader(
--- a/src/cairnloom/standins/program.py
+++ b/src/cairnloom/standins/program.py
@@ -32,6 +32,7 @@
     crash_endpoint: str | None = None
     mark_endpoint: str | None = None
     leaving: bool = True
+    cross_endpoint: str | None = None
     slow_endpoint: str | None = None
     slowdown: float = 10.0
     service_delay_seconds: float | None = None
@@ -115,6 +116,8 @@
             self.fleet.crash(wanted.crash_endpoint)
         if wanted.mark_endpoint is not None:
             self.fleet.mark(wanted.mark_endpoint, wanted.leaving)
+        if wanted.cross_endpoint is not None:
+            self.fleet.resource(wanted.cross_endpoint).state.crossed = 1
         if wanted.slow_endpoint is not None:
             made = self.fleet.resource(wanted.slow_endpoint)
             made.state.slowdown = wanted.slowdown
@@ -123,13 +126,19 @@
                 made.delay_seconds = wanted.service_delay_seconds
 
     def _services(self) -> list[Any]:
-        made = [self.fleet.resource(name) for name in self.fleet.names()]
+        engines = self._engines()
+        return [item for item in self._all() if item not in engines]
+
+    def _engines(self) -> list[engine.EngineResource]:
         return [
             item
-            for item in made
-            if not isinstance(item, engine.EngineResource)
+            for item in self._all()
+            if isinstance(item, engine.EngineResource)
         ]
 
+    def _all(self) -> list[Any]:
+        return [self.fleet.resource(name) for name in self.fleet.names()]
+
     async def _record(self, call: server.Call) -> server.Answer:
         """Show what reached the stand-ins, for tests and the demo."""
         made = {name: self.fleet.resource(name) for name in self.fleet.names()}
@@ -150,6 +159,9 @@
             'platform_orders': self.fleet.orders,
             'reports': self.reports,
             'crashes': self.fleet.crashes,
+            'still_to_cross': sum(
+                item.state.crossed for item in engines.values()
+            ),
             'table_reads': self.store.table.reads,
             'table_writes': self.store.table.writes,
         }
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -136,8 +136,8 @@
         return Gateway(self, at, 'g%d.%d' % (at, next(self.names)))
 
     def reaches(self, one, other):
-        pair = frozenset([one.at, other.at])
-        return pair not in self.cut and one.alive and other.alive
+        whole = (one.at, other.at) not in self.cut
+        return whole and one.alive and other.alive
 
     def note_version(self, delta):
         known = self.versions.setdefault(delta.version, delta)
@@ -151,7 +151,8 @@
             if other.frozen:
                 continue
             other.apply([delta])
-            holding += other.replica.version >= delta.version
+            if self.reaches(other, process):
+                holding += other.replica.version >= delta.version
         if not freshness.is_majority(holding, HOSTS):
             return
         for change in delta.changes:
@@ -205,6 +206,8 @@
         asking, asked = self.pick(number), self.pick(other)
         if asking is asked or not self.reaches(asking, asked):
             return
+        if not self.reaches(asked, asking):
+            return
         if asking.frozen or asked.frozen:
             return
         sent_at = self.world.now
@@ -227,18 +230,16 @@
 
     @stateful.rule(one=machines.INDEX, other=machines.INDEX)
     def cut_link(self, one, other):
-        pair = frozenset([one % HOSTS, other % HOSTS])
-        self.cut ^= {pair}
+        """Cut or heal a link in one direction."""
+        self.cut ^= {(one % HOSTS, other % HOSTS)}
 
     @stateful.rule(first=machines.INDEX, size=machines.st.integers(0, 2))
     def partition(self, first, size):
         """Cut a few processes off from the rest, and heal all else."""
         inside = {(first + step) % HOSTS for step in range(size)}
-        self.cut = {
-            frozenset([one, other])
-            for one in inside
-            for other in set(range(HOSTS)) - inside
-        }
+        outside = set(range(HOSTS)) - inside
+        self.cut = set(itertools.product(inside, outside))
+        self.cut |= set(itertools.product(outside, inside))
 
     @stateful.rule()
     def exchange_all(self):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -8,6 +8,8 @@
 import processes
 import pytest
 
+from cairnloom.standins import engine
+
 TIMING = {'usage_window': 2.0, 'seal_grace': 1.0, 'usage_flush': 0.3}
 BOUND_SECONDS = 3.0
 SLOW = {'decode_seconds_per_token': 0.05}
@@ -343,3 +345,27 @@
             if item['kind'] == 'engine'
         ]
         assert 'prefill' in roles
+
+
+def test_crossed_answer_is_dropped(system):
+    system.fault(cross_endpoint='engine-0')
+    for number in range(60):
+        host = 'host-%d' % (number % 3 + 1)
+        prompt = 'prompt %d' % number
+        result = system.ask(host, system.key, prompt, max_tokens=5)
+        sent = json.dumps([{'role': 'user', 'content': prompt}])
+        expected = [engine.make_word(sent, place) for place in range(5)]
+        assert words_of(result) == [word.strip() for word in expected]
+    assert system.record()['still_to_cross'] == 0
+
+
+def test_snapshot_brings_a_new_gateway_up_to_date(system):
+    system.start_other('cairnloom-controller', 'host-1')
+    for number in range(300):
+        change = {'kind': 'put_team', 'team': {'name': 'team-%d' % number}}
+        assert system.change('host-1', change)['state'] == 'accepted'
+    log = system.others[0].lines
+    processes.until(lambda: any('event=snapshot' in line for line in log))
+    system.start_gateway('host-4')
+    processes.until(lambda: len(system.state('host-4')['teams']) == 301)
+    assert system.ask('host-4', system.key, max_tokens=1)[0] == 200
