--- a/src/cairnloom/protocol/server.py
+++ b/src/cairnloom/protocol/server.py
@@ -9,6 +9,7 @@
 from typing import Awaitable
 from typing import Callable
 
+import eliot
 from twisted.internet import defer
 from twisted.python import failure
 from twisted.web import http
@@ -63,8 +64,8 @@
         running = defer.Deferred.fromCoroutine(_run(handler, call))
         gone = request.notifyFinish()
         gone.addErrback(lambda _: running.cancel())
+        running.addErrback(_answer_fault)
         running.addCallback(lambda answer: _write(request, answer))
-        running.addErrback(_ignore_cancelled)
         return server.NOT_DONE_YET
 
     def _find(self, path: str) -> Handler | None:
@@ -88,8 +89,14 @@
     return Answer(codec.encode({'error': reason}), status)
 
 
-def _ignore_cancelled(reason: failure.Failure) -> None:
-    reason.trap(defer.CancelledError, RuntimeError)
+def _answer_fault(reason: failure.Failure) -> Answer:
+    if not reason.check(defer.CancelledError):
+        eliot.log_message(
+            message_type='call_fault',
+            kind=reason.type.__name__ if reason.type else '',
+            where=reason.getTraceback()[-600:],
+        )
+    return refuse('internal error', http.INTERNAL_SERVER_ERROR)
 
 
 def _read_call(request: server.Request) -> Call:
--- a/src/cairnloom/settings.py
+++ b/src/cairnloom/settings.py
@@ -46,7 +46,7 @@
     freshness: float = pydantic.Field(2.5, gt=0, le=60)
     lease_term: float = pydantic.Field(3.0, gt=0, le=60)
     lease_margin: float = pydantic.Field(0.5, ge=0, le=10)
-    usage_flush: float = pydantic.Field(1.0, gt=0, le=60)
+    usage_flush: float = pydantic.Field(0.5, gt=0, le=60)
     usage_window: float = pydantic.Field(10.0, gt=0, le=86400)
     seal_grace: float = pydantic.Field(3.0, gt=0, le=600)
     drain: float = pydantic.Field(30.0, gt=0, le=3600)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -249,3 +249,19 @@
             text=True,
         )
         assert ended.returncode == 0, ended.stderr
+
+
+def test_fault_in_admin_call_is_answered(system):
+    url = system.admin('host-1') + '/peer/deltas?after=nonsense'
+    status, _, _ = processes.call(url, timeout=5)
+    assert status == 500
+    assert any(
+        'call_fault' in line for line in system.gateways['host-1'].lines
+    )
+
+
+def test_metrics_and_health(system):
+    status, _, body = processes.call(system.admin('host-1') + '/metrics')
+    assert status == 200
+    assert b'cairnloom_requests' in body
+    assert processes.call(system.admin('host-1') + '/health')[0] == 200
