Say not run, and bill nothing, when no attempt reached an engine

Cause: a model request whose every attempt was refused at connecting was answered 'may have run' and its prompt was billed, since only the stage 'dispatched' was looked at. The new test failed for that and passes now. In its first form it met a kept connection that had broken unnoticed, where 'may have run' is right.

--- a/src/cairnloom/gateway/completions.py
+++ b/src/cairnloom/gateway/completions.py
@@ -52,6 +52,8 @@
         self._last_token_at = 0.0
         self._sent_at = 0.0
         self._engine_answering = False
+        self._may_have_run = False
+        self._whole = False
         self._kept: list[bytes] = []
 
     async def run(self) -> None:
@@ -195,6 +197,7 @@
         self, fault: exceptions.EndpointError, chosen: choice.Choice
     ) -> None:
         self._avoid.add(chosen.endpoint)
+        self._may_have_run = self._may_have_run or fault.ran
         if self._life.moving:
             self._state.metrics.count('moved')
             return
@@ -251,6 +254,7 @@
         return granted
 
     async def _end_whole(self) -> None:
+        self._whole = True
         caller = self._life.caller
         if self._prompt.body.stream:
             self._send(self._answer.end())
@@ -275,7 +279,7 @@
     async def _refuse(self, refusal: callers.Refusal) -> None:
         caller = self._life.caller
         if self._claim is not None:
-            if self._life.run_state == 'not-run':
+            if refusal.run_state == 'not-run':
                 await self._claim.release()
             else:
                 await self._claim.lose()
@@ -291,11 +295,17 @@
             message,
             'server_error',
             'endpoint_failed',
-            run_state='may-have-run',
+            run_state='may-have-run' if self._may_have_run else 'not-run',
             retry_after=1.0,
         )
 
     def _settle_usage(self) -> None:
+        if not self._whole and not self._answer.tokens:
+            # Nothing was made, so nobody pays for it.
+            self._state.queue.charge(
+                self._target.name, self._life.team, -self._charged
+            )
+            return
         prefill = self._answer.prompt_tokens or self._prompt.tokens
         figures = usage.Figures(prefill, self._answer.tokens, 1)
         self._state.book.record(self._life.team, figures, self._state.window())
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -378,3 +378,34 @@
     system.start_gateway('host-4')
     processes.until(lambda: len(system.state('host-4')['teams']) == 301)
     assert system.ask('host-4', system.key, max_tokens=1)[0] == 200
+
+
+def test_engines_gone_is_refused_not_run_and_not_billed(system):
+    system.start_other('cairnloom-reporter', 'host-1')
+    target = {'name': 'fast', 'model': 'm', 'first_token_seconds': 0.5}
+    system.change('host-1', {'kind': 'put_class', 'target': target})
+    for number in range(3):
+        system.fault(crash_endpoint='engine-%d' % number)
+    # The load reports find the kept connections broken meanwhile.
+    time.sleep(1.5)
+    status, headers, _ = system.ask(
+        'host-1',
+        system.key,
+        max_tokens=4,
+        headers={'Cairnloom-Class': 'fast'},
+    )
+    assert status in (429, 502)
+    assert headers['Cairnloom-Run-State'] == 'not-run'
+    assert headers['Retry-After']
+    time.sleep(5.0)
+    assert len(words_of(system.ask('host-1', system.key, max_tokens=4))) == 4
+
+    def billed():
+        return [
+            figures
+            for report in system.record()['reports']
+            for figures in report['teams'].values()
+        ]
+
+    processes.until(billed, 10)
+    assert sum(item['requests'] for item in billed()) == 1
