--- a/Makefile
+++ b/Makefile
@@ -18,12 +18,12 @@
 	$(BIN)/pytest
 
 check: setup
-	$(BIN)/black --check -q src tests bench scripts
-	$(BIN)/flake8 src tests bench scripts
+	$(BIN)/black --check -q src tests bench scripts deploy
+	$(BIN)/flake8 src tests bench scripts deploy
 	$(BIN)/mypy
 
 format: setup
-	$(BIN)/black -q src tests bench scripts
+	$(BIN)/black -q src tests bench scripts deploy
 
 clean:
 	rm -rf $(VENV) run
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -14,11 +14,11 @@
 import tracemalloc
 
 from cairnloom.admission import queues
+from cairnloom.backing import services
 from cairnloom.coordination import documents
 from cairnloom.coordination import membership
 from cairnloom.coordination import usage
 from cairnloom.endpoints import engines
-from cairnloom.platform import services
 from cairnloom.protocol import codec
 from cairnloom.protocol import messages
 from cairnloom.routing import choice
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -5,9 +5,9 @@
 import heapq
 import itertools
 
+from cairnloom.backing import services
 from cairnloom.endpoints import engines
 from cairnloom.planning import fleets
-from cairnloom.platform import services
 
 MODEL = 'm'
 
--- a/src/cairnloom/controller/orders.py
+++ b/src/cairnloom/controller/orders.py
@@ -5,11 +5,11 @@
 from typing import Any
 
 from .. import exceptions
+from ..backing import services
 from ..coordination import actions
 from ..coordination import events
 from ..coordination import orders
 from ..endpoints import engines
-from ..platform import services
 from ..protocol import codec
 from ..protocol import messages
 from ..runtime import logs
--- a/src/cairnloom/controller/state.py
+++ b/src/cairnloom/controller/state.py
@@ -4,10 +4,10 @@
 from typing import Any
 
 from .. import settings
+from ..backing import services
+from ..backing import tables
 from ..coordination import configuration
 from ..endpoints import engines
-from ..platform import services
-from ..platform import tables
 from ..protocol import client
 from ..runtime import admin
 from ..runtime import leadership
--- /dev/null
+++ b/src/cairnloom/entry/forwarding.py
@@ -0,0 +1,542 @@
+"""One request's way to endpoints and back.
+
+Third stage of a request. Each attempt ends in one of three ways: answered,
+surely not run, or maybe run; only the first two may be told as such.
+"""
+
+import dataclasses
+import random
+from typing import Any
+
+from twisted.internet import defer
+from twisted.python import failure
+
+from .. import exceptions
+from ..routing import instances
+from ..routing import placing
+from ..routing import routes
+from ..routing import work
+from ..runtime import logs
+
+from . import events
+from . import listener
+from . import state
+from . import upstream
+
+# Answers up to this size are read whole before they are passed on, so that
+# one that breaks off can be fetched again.
+BUFFERED_BYTES = 256 * 1024
+# The time left of a deadline that is kept for the way back to the caller.
+RETURN_SECONDS = 0.01
+# Callers of a busy service come back spread over this time.
+RETRY_SECONDS = (0.3, 1.0)
+# How often prompts are read for one request.
+PREFILL_ROUNDS = 3
+# Status of an endpoint's own failure.
+_FAILED = 500
+
+
+@dataclasses.dataclass(frozen=True)
+class _Answered:
+    """The caller has its answer, or is gone."""
+
+
+@dataclasses.dataclass(frozen=True)
+class _NotRun:
+    """The endpoint surely did not run the request."""
+
+    reason: str
+    arrived: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class _Failed:
+    """The request may have run; ``answer`` is the endpoint's own failure."""
+
+    reason: str
+    broken: bool = False
+    head: work.Head | None = None
+    body: bytes = b''
+
+
+_Outcome = _Answered | _NotRun | _Failed
+
+
+class Forwarding:
+    """Carry one request through."""
+
+    def __init__(
+        self,
+        host: state.Host,
+        caller: listener.Caller,
+        asked: work.Asked,
+        route: routes.Route,
+        service: routes.Service,
+        team: routes.Team | None,
+    ) -> None:
+        self._host = host
+        self._caller = caller
+        self._asked = asked
+        self._route = route
+        self._service = service
+        self._team = team
+        self._began = host.now()
+        patience = route.timeout
+        if asked.patience is not None:
+            patience = min(patience, asked.patience)
+        self._deadline = self._began + patience
+        self._arrivals = 0
+        self._ran = 0
+        self._maybe_ran = False
+        self._handle: tuple[instances.Instance, str] | None = None
+        self._last_event = asked.last_event
+        self._counted = False
+        self._running: defer.Deferred[None] | None = None
+
+    def start(self) -> defer.Deferred[None]:
+        """Begin; the deferred fires when the caller has its answer."""
+        host = self._host
+        host.metrics.count('requests', route=self._route.kind)
+        host.budget(self._service.name).note_request(self._began)
+        running = defer.Deferred.fromCoroutine(self._run())
+        self._running = running
+        self._caller.when_gone = running.cancel
+        wait = max(0.0, self._deadline - self._began - RETURN_SECONDS)
+        timer = host.reactor.callLater(wait, running.cancel)
+        running.addErrback(self._end_badly)
+        running.addBoth(lambda _: timer.active() and timer.cancel())
+        running.addBoth(lambda _: self._free_handle())
+        return running
+
+    async def _run(self) -> None:
+        if self._service.engine is not None and self._asked.work is not None:
+            await self._run_model()
+        else:
+            await self._run_plain()
+
+    async def _run_plain(self) -> None:
+        tried: set[str] = set()
+        while True:
+            ready = self._candidates('', tried)
+            chosen = self._host.placer.choose_service(ready, self._host.now())
+            if chosen is None:
+                self._refuse('no endpoint')
+                return
+            outcome = await self._attempt(chosen, work.Whole())
+            if not self._goes_on(outcome):
+                return
+            tried.add(chosen.name)
+
+    async def _run_model(self) -> None:
+        tried: set[str] = set()
+        rounds = 0
+        while True:
+            phase: work.Phase = work.Whole()
+            if rounds < PREFILL_ROUNDS and self._last_event is None:
+                rounds += 1
+                phase = await self._prefill(tried) or phase
+            ready = self._candidates('decode', tried)
+            chosen = self._choose_decode(ready, phase)
+            if chosen is None:
+                self._refuse('no engine')
+                return
+            outcome = await self._attempt(chosen, phase)
+            self._handle = None
+            if not self._goes_on(outcome):
+                return
+            tried.add(chosen.name)
+
+    def _choose_decode(
+        self, ready: list[instances.Instance], phase: work.Phase
+    ) -> instances.Instance | None:
+        now = self._host.now()
+        if isinstance(phase, work.Whole):
+            choice = self._choose_prefill(ready)
+            return None if choice is None else choice.instance
+        return self._host.placer.choose_decode(ready, now)
+
+    def _choose_prefill(
+        self, ready: list[instances.Instance]
+    ) -> placing.Choice | None:
+        asked, engine = self._asked.work, self._service.engine
+        assert asked is not None and engine is not None
+        return self._host.placer.choose_prefill(
+            ready, asked, engine.memory_tokens, self._host.now()
+        )
+
+    async def _prefill(self, tried: set[str]) -> work.Decode | None:
+        ready = self._candidates('prefill', tried)
+        choice = self._choose_prefill(ready)
+        if choice is None:
+            return None
+        if self._arrivals and not self._take_budget():
+            return None
+        instance = choice.instance
+        host = self._host
+        tracker = host.trackers.of(instance)
+        asked = self._asked.work
+        assert asked is not None and self._service.engine is not None
+        alone = tracker.running == 0
+        tracker.pending_tokens += choice.new_tokens
+        tracker.running += 1
+        began = host.now()
+        body = bytearray()
+        # A first call that only reads the prompt counts for nothing.
+        try:
+            head, whole = await self._exchange(
+                instance, work.Prefill(), body.extend, True
+            )
+        except exceptions.EndpointError as fault:
+            tracker.note_failure(host.now())
+            self._note_attempt(instance, 'prefill', str(fault))
+            tried.add(instance.name)
+            return None
+        finally:
+            tracker.pending_tokens -= choice.new_tokens
+            tracker.running -= 1
+        if head.status != 200 or not whole:
+            self._note_attempt(instance, 'prefill', 'status %d' % head.status)
+            if head.not_run:
+                self._arrivals += 1
+            tried.add(instance.name)
+            return None
+        try:
+            handle = host.dialect.read_cache_handle(bytes(body))
+        except exceptions.ProtocolError as fault:
+            self._note_attempt(instance, 'prefill', str(fault))
+            return None
+        tracker.note_success()
+        tracker.note_parts(asked.parts, self._service.engine.memory_tokens)
+        seconds = host.now() - began
+        if alone:
+            host.placer.note_rate(choice.new_tokens, seconds)
+        host.metrics.time('prefill', seconds)
+        self._handle = (instance, handle.handle)
+        address = '%s:%d' % (instance.address, instance.port)
+        return work.Decode(address, handle.handle)
+
+    async def _attempt(
+        self, instance: instances.Instance, phase: work.Phase
+    ) -> _Outcome:
+        if self._arrivals and not self._take_budget():
+            self._refuse('retry budget')
+            return _Answered()
+        tracker = self._host.trackers.of(instance)
+        tracker.running += 1
+        self._arrivals += 1
+        try:
+            if self._route.kind == 'stream':
+                outcome = await self._stream(instance, phase)
+            else:
+                outcome = await self._fetch(instance, phase)
+        finally:
+            tracker.running -= 1
+        match outcome:
+            case _Failed(reason=reason):
+                self._ran += 1
+                self._maybe_ran = True
+                self._note_attempt(instance, 'failed', reason)
+                if outcome.head is None:
+                    tracker.note_failure(self._host.now())
+            case _NotRun(reason=reason, arrived=arrived):
+                self._note_attempt(instance, 'not_run', reason)
+                if not arrived:
+                    self._arrivals -= 1
+                    tracker.note_failure(self._host.now())
+            case _Answered():
+                tracker.note_success()
+        return outcome
+
+    def _goes_on(self, outcome: _Outcome) -> bool:
+        match outcome:
+            case _Answered():
+                return False
+            case _NotRun():
+                return not self._caller.ended and not self._caller.gone
+            case _Failed():
+                if self._may_repeat():
+                    return True
+                self._give_up(outcome)
+        return False
+
+    def _may_repeat(self) -> bool:
+        if self._caller.gone or not self._route.repeatable:
+            return False
+        return self._ran < self._route.attempts
+
+    def _give_up(self, outcome: _Failed) -> None:
+        if self._caller.begun:
+            self._caller.abort()
+        elif outcome.head is not None:
+            self._caller.answer(
+                outcome.head.status, list(outcome.head.headers), outcome.body
+            )
+        else:
+            self._caller.answer(502, [])
+        self._note_end('failed', outcome.reason)
+
+    async def _exchange(
+        self,
+        instance: instances.Instance,
+        phase: work.Phase,
+        take: Any,
+        repeatable: bool,
+    ) -> tuple[work.Head, bool]:
+        exchange, head = await self._open(instance, phase, repeatable)
+        whole = await exchange.read(take)
+        return head, whole
+
+    async def _open(
+        self,
+        instance: instances.Instance,
+        phase: work.Phase,
+        repeatable: bool,
+    ) -> tuple[upstream.Exchange, work.Head]:
+        host = self._host
+        if not host.knowledge.directory.is_current(instance):
+            raise exceptions.EndpointError('left meanwhile', False)
+        team = self._team
+        urgency = self._route.priority
+        if team is not None and team.priority is not None:
+            urgency = team.priority
+        orders = work.Orders(
+            instance=instance.name,
+            left=self._deadline - host.now(),
+            team=team.name if team else '',
+            urgency=urgency if self._service.engine else None,
+            phase=phase,
+            last_event=self._last_event,
+        )
+        headers = host.dialect.write_headers(
+            self._caller.headers.getAllRawHeaders(), self._asked, orders
+        )
+        exchange = await host.upstream.open(
+            upstream.Call(
+                instance,
+                self._caller.method,
+                self._caller.target,
+                headers,
+                self._caller.body,
+                repeatable,
+            )
+        )
+        head = host.dialect.read_head(exchange.status, exchange.headers)
+        if head.request_id and head.request_id != self._asked.request_id:
+            exchange.drop()
+            raise exceptions.EndpointError('answer to another request', True)
+        if head.load is not None:
+            host.trackers.of(instance).note_load(head.load, host.now())
+        return exchange, head
+
+    async def _fetch(
+        self, instance: instances.Instance, phase: work.Phase
+    ) -> _Outcome:
+        body = bytearray()
+        sent_at = self._host.now()
+        try:
+            exchange, head = await self._open(
+                instance, phase, self._route.repeatable
+            )
+        except exceptions.EndpointError as fault:
+            if not fault.ran:
+                return _NotRun(str(fault), False)
+            return _Failed(str(fault), fault.broken)
+        if not head.not_run:
+            self._count_run(sent_at)
+        whole = await exchange.read(body.extend)
+        if head.not_run:
+            return _NotRun('status %d' % head.status, True)
+        if not whole:
+            return _Failed('broken off', True)
+        if not head.signed:
+            return _Failed('status %d without signature' % head.status)
+        if head.status >= _FAILED:
+            return _Failed('status %d' % head.status, False, head, bytes(body))
+        self._caller.answer(head.status, list(head.headers), bytes(body))
+        self._note_end('answered', status=head.status)
+        return _Answered()
+
+    async def _stream(
+        self, instance: instances.Instance, phase: work.Phase
+    ) -> _Outcome:
+        try:
+            exchange, head = await self._open(
+                instance, phase, self._route.resumable
+            )
+        except exceptions.EndpointError as fault:
+            if not fault.ran:
+                return _NotRun(str(fault), False)
+            return _Failed(str(fault), fault.broken)
+        if head.not_run or head.status != 200 or not head.signed:
+            body = bytearray()
+            whole = await exchange.read(body.extend)
+            if head.not_run:
+                return _NotRun('status %d' % head.status, True)
+            if not whole or not head.signed:
+                return _Failed('status %d' % head.status)
+            return _Failed('status %d' % head.status, False, head, bytes(body))
+        self._handle = None
+        if self._caller.begun:
+            self._caller.release()
+        reader = _StreamReader(self, exchange, head)
+        whole = await exchange.read(reader.take)
+        if self._caller.begun:
+            self._caller.release()
+        if reader.fault:
+            return _Failed(reader.fault)
+        if not whole or reader.torn:
+            return _Failed('stream broken off', True)
+        if not self._caller.begun:
+            self.begin(head)
+        self._caller.finish()
+        self._note_end('answered', status=head.status)
+        return _Answered()
+
+    def begin(self, head: work.Head) -> None:
+        """Send the head of a stream; once, also where it is resumed."""
+        now = self._host.now()
+        self._host.metrics.time('first_event', now - self._began)
+        self._caller.begin(head.status, list(head.headers))
+
+    def pass_event(self, event: events.Event, head: work.Head) -> str:
+        """Pass one event on; return what is wrong with it, if anything."""
+        if event.number is not None:
+            last = self._last_event
+            if last is not None and event.number <= last:
+                return 'event %d again' % event.number
+            self._last_event = event.number
+        if not self._caller.begun:
+            self._count_run(self._host.now())
+            self.begin(head)
+        self._caller.write(event.data)
+        return ''
+
+    def hold_up(self, exchange: upstream.Exchange) -> None:
+        """Let a slow caller hold up the endpoint."""
+        self._caller.hold_up(exchange.pause, exchange.resume)
+
+    def _count_run(self, at: float) -> None:
+        if not self._counted and self._team is not None:
+            self._counted = True
+            self._host.count_run(self._team.name, at)
+
+    def _candidates(
+        self, role: str, tried: set[str]
+    ) -> list[instances.Instance]:
+        ready = self._host.knowledge.directory.ready(self._service.name)
+        fitting = [item for item in ready if item.role in (role, '')]
+        return [item for item in fitting if item.name not in tried]
+
+    def _take_budget(self) -> bool:
+        host = self._host
+        budget = host.budget(self._service.name)
+        return budget.take(host.now(), host.hosts)
+
+    def _refuse(self, reason: str) -> None:
+        if self._caller.begun:
+            self._caller.abort()
+        elif self._maybe_ran:
+            self._caller.answer(502, [])
+        else:
+            wait = random.uniform(*RETRY_SECONDS)
+            retry = self._host.dialect.write_retry_after(wait)
+            self._caller.answer(503, [retry])
+        self._note_end('refused', reason)
+
+    def _end_badly(self, reason: failure.Failure) -> None:
+        if self._caller.gone:
+            self._note_end('caller_gone')
+            return
+        if not reason.check(defer.CancelledError):
+            self._maybe_ran = True
+            logs.note(
+                'request_fault',
+                request=self._asked.request_id,
+                kind=reason.type.__name__ if reason.type else '',
+                where=reason.getTraceback()[-600:],
+            )
+        if self._caller.begun:
+            self._caller.abort()
+        elif not self._caller.ended:
+            self._caller.answer(504, [])
+        self._note_end('deadline')
+
+    def _free_handle(self) -> None:
+        if self._handle is None:
+            return
+        instance, handle = self._handle
+        self._handle = None
+        freeing = defer.Deferred.fromCoroutine(
+            self._host.engines.free_cache(instance, handle)
+        )
+        freeing.addErrback(
+            lambda reason: logs.note(
+                'cache_not_freed',
+                request=self._asked.request_id,
+                reason=reason.getErrorMessage(),
+            )
+        )
+
+    def _note_attempt(
+        self, instance: instances.Instance, outcome: str, reason: str
+    ) -> None:
+        self._host.metrics.count('attempts', outcome=outcome)
+        logs.note(
+            'attempt',
+            request=self._asked.request_id,
+            endpoint=instance.name,
+            outcome=outcome,
+            reason=reason,
+        )
+
+    def _note_end(
+        self, outcome: str, reason: str = '', status: int = 0
+    ) -> None:
+        now = self._host.now()
+        self._host.metrics.count('ended', outcome=outcome)
+        self._host.metrics.time('request', now - self._began)
+        logs.note(
+            'request',
+            request=self._asked.request_id,
+            route=self._route.name,
+            outcome=outcome,
+            reason=reason,
+            status=status,
+            attempts=self._arrivals,
+            seconds=round(now - self._began, 4),
+        )
+
+
+class _StreamReader:
+    """Pass the whole events of one attempt on to the caller."""
+
+    def __init__(
+        self,
+        forwarded: Forwarding,
+        exchange: upstream.Exchange,
+        head: work.Head,
+    ) -> None:
+        self._forwarded = forwarded
+        self._exchange = exchange
+        self._head = head
+        self._events = events.EventReader()
+        self._held = False
+        self.fault = ''
+
+    @property
+    def torn(self) -> bool:
+        """Whether the attempt ended in the middle of an event."""
+        return self._events.torn
+
+    def take(self, data: bytes) -> None:
+        """Take bytes of the endpoint's stream."""
+        if self.fault:
+            return
+        for event in self._events.take(data):
+            self.fault = self._forwarded.pass_event(event, self._head)
+            if self.fault:
+                self._exchange.drop()
+                return
+            if not self._held:
+                self._held = True
+                self._forwarded.hold_up(self._exchange)
--- /dev/null
+++ b/src/cairnloom/entry/listener.py
@@ -0,0 +1,310 @@
+"""The callers' HTTP side: whole requests in, answers out.
+
+First stage of a request. Bounds of the configuration hold here: size and time
+of a head and of a body, and the time that a kept connection may be idle.
+"""
+
+import io
+from typing import Any
+from typing import Callable
+
+from twisted.web import http
+
+from ..routing import routes
+from ..runtime import logs
+
+# What is read ahead of a request that is being served, so that a caller who
+# leaves is noticed; on top of the largest body and head.
+_READ_AHEAD_BYTES = 64 * 1024
+_REASONS = {400: b'Bad Request', 413: b'Content Too Large'}
+
+
+class Caller:
+    """One request of a caller, and the way to answer it."""
+
+    def __init__(self, request: '_Request') -> None:
+        self._request: Any = request
+        self.method: bytes = request.method
+        self.target: bytes = request.uri
+        self.path: str = request.path.decode('latin-1')
+        self.headers = request.requestHeaders
+        self.host: str = request.getHeader('host') or ''
+        content: Any = request.content
+        self.body: bytes = content.read()
+        self.begun = False
+        self.ended = False
+        self.when_gone: Callable[[], None] = lambda: None
+
+    @property
+    def gone(self) -> bool:
+        """Whether the caller has closed its connection."""
+        return bool(self._request._disconnected)
+
+    def begin(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Send the head of an answer."""
+        if self.gone or self.ended:
+            return
+        self.begun = True
+        self._request.setResponseCode(status)
+        for name, value in headers:
+            self._request.responseHeaders.addRawHeader(name, value)
+        if self._request.channel.factory.closing():
+            self._request.close_after()
+        self._request.write(b'')
+
+    def write(self, data: bytes) -> None:
+        """Send a piece of an answer's body."""
+        if not self.gone and not self.ended:
+            self._request.write(data)
+
+    def finish(self) -> None:
+        """End an answer that is whole."""
+        if not self.gone and not self.ended:
+            self.ended = True
+            self._request.finish()
+
+    def abort(self) -> None:
+        """Break off an answer, so that it can't be taken for a whole one."""
+        if not self.gone and not self.ended:
+            self.ended = True
+            self._request.channel.abort()
+
+    def answer(
+        self,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes = b'',
+    ) -> None:
+        """Send a whole answer at once."""
+        length = (b'content-length', b'%d' % len(body))
+        self.begin(status, [*headers, length])
+        if body:
+            self.write(body)
+        self.finish()
+
+    def hold_up(self, pause: Any, resume: Any) -> None:
+        """Let a slow caller hold up what feeds its answer."""
+        if not self.gone and not self.ended:
+            self._request.registerProducer(_Producer(pause, resume), True)
+
+    def release(self) -> None:
+        """End what :meth:`hold_up` began."""
+        if not self.gone and self._request.producer is not None:
+            self._request.unregisterProducer()
+
+
+class _Producer:
+    """Pass a caller's flow control on."""
+
+    def __init__(self, pause: Any, resume: Any) -> None:
+        self.pauseProducing = pause
+        self.resumeProducing = resume
+
+    def stopProducing(self) -> None:
+        """The caller is gone; its end is noted elsewhere."""
+
+
+class _Request(http.Request):
+    """A request whose body is held in memory, below the bound."""
+
+    caller: Caller | None = None
+    channel: Any
+
+    def __init__(self, channel: Any, queued: Any = False) -> None:
+        super().__init__(channel, parsePOSTFormSubmission=False)
+
+    def gotLength(self, length: int | None) -> None:
+        self.content = io.BytesIO()
+        if length is not None and length > self._limits().body_bytes:
+            self.channel.reject(413)
+
+    def handleContentChunk(self, data: bytes) -> None:
+        content: Any = self.content
+        content.write(data)
+        if content.tell() > self._limits().body_bytes:
+            self.channel.reject(413)
+
+    def process(self) -> None:
+        if self.channel.rejected:
+            return
+        if self.clientproto == b'HTTP/1.1':
+            if len(self.requestHeaders.getRawHeaders(b'host', [])) != 1:
+                self.channel.reject(400)
+                return
+        self.caller = Caller(self)
+        self.channel.factory.serve(self.caller)
+
+    def connectionLost(self, reason: Any) -> None:
+        super().connectionLost(reason)
+        if self.caller is not None and not self.caller.ended:
+            self.caller.when_gone()
+
+    def close_after(self) -> None:
+        """Close the connection once this answer has been sent."""
+        self.responseHeaders.setRawHeaders(b'connection', [b'close'])
+        self.channel.persistent = 0
+
+    def _limits(self) -> routes.CallerLimits:
+        limits: routes.CallerLimits = self.channel.factory.limits()
+        return limits
+
+
+class _Channel(http.HTTPChannel):
+    """A caller's connection, with the configuration's bounds."""
+
+    requestFactory: Any = _Request
+    transport: Any
+    factory: Any
+    callLater: Any
+    abortTimeout = 2
+    rejected = False
+    _arriving: Any = None
+
+    def connectionMade(self) -> None:
+        limits = self.factory.limits()
+        self.totalHeadersSize = limits.header_bytes
+        # Lines are bounded by the head as a whole, which is answered.
+        self.MAX_LENGTH = 2 * limits.header_bytes
+        self._optimisticEagerReadSize = (
+            limits.body_bytes + limits.header_bytes + _READ_AHEAD_BYTES
+        )
+        self.timeOut = limits.idle_seconds
+        self.factory.channels.add(self)
+        super().connectionMade()
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.rejected:
+            return
+        if self._arriving is None and not self._handlingRequest:
+            self._arriving = self.callLater(
+                self.factory.limits().header_seconds, self._give_up
+            )
+        super().dataReceived(data)
+        if self.rejected or self._handlingRequest:
+            return
+        buffered = self._buffer
+        if self.line_mode and b'\n' in buffered:
+            self.reject(400)
+        elif self.line_mode and len(buffered) > self.totalHeadersSize:
+            self.reject(431)
+
+    def lineReceived(self, line: bytes) -> None:
+        if self.rejected:
+            return
+        size = self._receivedHeaderSize + len(line)
+        if size > self.totalHeadersSize:
+            self.reject(431)
+            return
+        if b'\n' in line:
+            self.reject(400)
+            return
+        super().lineReceived(line)
+
+    def lineLengthExceeded(self, line: bytes) -> Any:
+        self.reject(431)
+
+    def allHeadersReceived(self) -> None:
+        super().allHeadersReceived()
+        self._cancel()
+
+    def allContentReceived(self) -> None:
+        self._cancel()
+        if self.rejected:
+            return
+        super().allContentReceived()
+
+    def requestDone(self, request: Any) -> None:
+        if self.factory.closing():
+            self.persistent = 0
+        super().requestDone(request)
+
+    def reject(self, status: int) -> None:
+        """Answer a request that can't be read, and close."""
+        if self.rejected:
+            return
+        self.rejected = True
+        self._cancel()
+        reason = _REASONS.get(status, b'Request Header Fields Too Large')
+        logs.note('unreadable_request', status=status)
+        self.transport.write(
+            b'HTTP/1.1 %d %s\r\nconnection: close\r\n'
+            b'content-length: 0\r\n\r\n' % (status, reason)
+        )
+        self.loseConnection()
+
+    def abort(self) -> None:
+        """Close at once, without the end of what is being answered."""
+        self.transport.abortConnection()
+
+    def is_idle(self) -> bool:
+        """Tell whether no request is being read or served."""
+        return (
+            not self._handlingRequest
+            and not self.requests
+            and not self._buffer
+        )
+
+    def connectionLost(self, reason: Any = None) -> None:
+        self.factory.channels.discard(self)
+        self._cancel()
+        super().connectionLost(reason)
+
+    def _respondToBadRequestAndDisconnect(self) -> None:
+        self.reject(400)
+
+    def _cancel(self) -> None:
+        if self._arriving is not None and self._arriving.active():
+            self._arriving.cancel()
+        self._arriving = None
+
+    def _give_up(self) -> None:
+        self._arriving = None
+        if not self._handlingRequest:
+            self.reject(400 if self.requests or self._buffer else 408)
+
+
+class Listener(http.HTTPFactory):
+    """Build the callers' connections and hand their requests on."""
+
+    protocol: Any = _Channel
+
+    def __init__(
+        self,
+        reactor: Any,
+        serve: Callable[[Caller], None],
+        limits: Callable[[], routes.CallerLimits],
+    ) -> None:
+        super().__init__(reactor=reactor)
+        self.serve = serve
+        self.limits = limits
+        self.channels: set[_Channel] = set()
+        self._closing = False
+
+    def buildProtocol(self, addr: Any) -> Any:
+        channel = _Channel()
+        channel.factory = self
+        channel.callLater = self.reactor.callLater
+        return channel
+
+    def log(self, request: Any) -> None:
+        """Requests are logged where they are decided."""
+
+    def startFactory(self) -> None:
+        """Keep no access log."""
+
+    def stopFactory(self) -> None:
+        """There is no access log to close."""
+
+    def closing(self) -> bool:
+        """Tell whether connections are to be closed after their answers."""
+        return self._closing
+
+    def begin_closing(self) -> None:
+        """Close every connection after its next answer."""
+        self._closing = True
+
+    def close_idle(self) -> None:
+        """Close the connections that carry no request."""
+        for channel in list(self.channels):
+            if channel.is_idle():
+                channel.loseConnection()
--- /dev/null
+++ b/src/cairnloom/entry/program.py
@@ -0,0 +1,259 @@
+"""The one-process program: starts the tasks of a host and stops them.
+
+Which platform it has is decided by the parts that it is given.
+"""
+
+import dataclasses
+import time
+from typing import Any
+from typing import Callable
+from typing import Protocol
+import uuid
+
+from twisted.internet import defer
+from twisted.internet import task
+from twisted.web import http
+
+from ..coordination import leases
+from ..coordination import usage
+from ..protocol import client
+from ..routing import placing
+from ..routing import trackers
+from ..runtime import leadership
+from ..runtime import logs
+from ..runtime import metrics
+from ..runtime import programs
+from ..runtime import runner
+
+from . import front
+from . import knowledge
+from . import listener
+from . import members
+from . import reporting
+from . import settings
+from . import state
+from . import upstream
+
+# The lease lasts longer than the platform's bound on holders that take
+# turns, by this much.
+LEASE_EXTRA_SECONDS = 1.5
+LEASE_MARGIN_SECONDS = 1.0
+# No duty is begun with less of the lease left: a call may take as long.
+CALL_MARGIN_SECONDS = 1.3
+MEMBERS_SECONDS = 4.0
+DUTIES_SECONDS = 0.5
+# A part of usage is written this often while its window is open.
+FLUSH_SECONDS = 2.5
+# The balancer takes a host out after two probes, a second apart.
+LEAVING_SECONDS = 2.5
+# Kept for the last answers' way out before the platform ends the process.
+END_SECONDS = 0.7
+
+
+class Store(Protocol):
+    """The platform's store, as far as this program calls it itself."""
+
+    ahead: float | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Parts:
+    """What a platform's adapter gives the program."""
+
+    dialect: state.Dialect
+    engines: state.Engines
+    intake: Any
+    store: Any
+    sources: tuple[knowledge.Source, ...]
+    read_idle: Callable[[Any], float | None]
+
+
+class Program:
+    """Own the tasks of one host."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        chosen: settings.HostSettings,
+        connect: Callable[[client.HttpClient], Parts],
+    ) -> None:
+        self._reactor = reactor
+        self._settings = chosen
+        self._http = client.HttpClient(reactor)
+        parts = connect(self._http)
+        self._parts = parts
+        known = trackers.Trackers()
+        self._owner = '%s.%s' % (chosen.host, uuid.uuid4().hex[:8])
+        self._host = state.Host(
+            settings=chosen,
+            reactor=reactor,
+            dialect=parts.dialect,
+            engines=parts.engines,
+            knowledge=knowledge.Knowledge(),
+            upstream=upstream.Upstream(reactor, parts.read_idle),
+            trackers=known,
+            placer=placing.Placer(known, chosen.failure_domain),
+            book=usage.UsageBook(self._owner),
+            metrics=metrics.Metrics(),
+        )
+        self._host.clock_offset = time.time() - reactor.seconds()
+        self._runner = runner.Runner(parts.store, reactor)
+        self._members = members.Members(
+            chosen.host, chosen.internal.host, chosen.internal.port
+        )
+        self._leadership = leadership.Leadership(
+            leases.LeaseKeeper(
+                leases.LeaseSettings(
+                    scope='duties',
+                    holder=self._owner,
+                    term=chosen.bounds.lease + LEASE_EXTRA_SECONDS,
+                    margin=LEASE_MARGIN_SECONDS,
+                    poll=1.5,
+                )
+            ),
+            self._runner,
+            reactor,
+            self._host.metrics,
+        )
+        self._reporter = reporting.Reporter(
+            self._owner,
+            chosen.bounds.usage_window,
+            parts.intake,
+            self._runner,
+        )
+        self._front = front.Front(self._host)
+        self._listener = listener.Listener(
+            reactor, self._front.serve, lambda: self._host.knowledge.limits
+        )
+        self._loops = [
+            programs.Loop(reactor, MEMBERS_SECONDS, self._meet),
+            programs.Loop(reactor, FLUSH_SECONDS, self._flush),
+            programs.Loop(reactor, DUTIES_SECONDS, self._do_duties),
+            programs.Loop(reactor, 0.25, self._tidy),
+        ]
+        self._ports: list[Any] = []
+
+    async def start(self) -> None:
+        """Open listeners and begin all tasks."""
+        chosen = self._settings
+        self._listen(chosen.callers, self._listener)
+        self._listen(chosen.health, _HealthListener(self._is_ready))
+        self._host.knowledge.when_gone = self._forget
+        for source in self._parts.sources:
+            knowledge.start(
+                knowledge.Follower(
+                    self._reactor, source, self._host.knowledge
+                ).run()
+            )
+        for loop in self._loops:
+            loop.start()
+        logs.note('started', host=chosen.host, owner=self._owner)
+
+    async def stop(self) -> None:
+        """Leave: unready first, then no new connections, then the end."""
+        host = self._host
+        began = host.now()
+        host.leaving = True
+        self._listener.begin_closing()
+        await self._sleep(LEAVING_SECONDS)
+        self._ports[0].stopListening()
+        self._listener.close_idle()
+        end = began + self._settings.bounds.grace - END_SECONDS
+        while self._front.under_way and host.now() < end:
+            await self._sleep(0.05)
+            self._listener.close_idle()
+        for loop in self._loops:
+            loop.stop()
+        await self._flush()
+        await self._leadership.release()
+        host.upstream.close()
+
+    def _listen(self, at: settings.Address, factory: Any) -> None:
+        port = self._reactor.listenTCP(
+            at.port, factory, backlog=512, interface=at.host
+        )
+        self._ports.append(port)
+
+    def _is_ready(self) -> bool:
+        return self._host.knowledge.is_ready() and not self._host.leaving
+
+    def _forget(self, instance: Any) -> None:
+        self._host.upstream.forget(instance)
+        self._host.trackers.forget(instance)
+
+    async def _tidy(self) -> None:
+        now = self._host.now()
+        self._host.knowledge.expire(now)
+        self._host.upstream.expire()
+
+    async def _meet(self) -> None:
+        now = self._host.now()
+        ahead = self._parts.store.ahead
+        others = await self._runner.drive(
+            [members.read_all()], lambda event: self._take_members(event)
+        )
+        del others
+        own = time.time() - now - (ahead or 0.0)
+        await self._runner.drive([self._members.write(own)], lambda _: [])
+        self._host.hosts = max(1, len(self._members.live(now)))
+        if ahead is not None:
+            agreed = self._members.clock_ahead(now, own)
+            self._host.clock_offset = agreed + ahead
+
+    def _take_members(self, event: Any) -> list[Any]:
+        found = getattr(event, 'rows', None)
+        if found is not None:
+            self._members.take(found, self._host.now())
+        return []
+
+    async def _flush(self) -> None:
+        book = self._host.book
+        await self._runner.drive(book.flush(), book.step)
+
+    async def _do_duties(self) -> None:
+        await self._leadership.keep()
+        if self._authority() is None:
+            self._reporter.rest()
+            return
+        true_now = self._host.now() + self._host.clock_offset
+        await self._reporter.work(true_now, self._authority)
+
+    def _authority(self) -> leases.Authority | None:
+        return self._leadership.authority_for(CALL_MARGIN_SECONDS)
+
+    def _sleep(self, seconds: float) -> defer.Deferred[None]:
+        return task.deferLater(self._reactor, seconds, lambda: None)
+
+
+class _HealthRequest(http.Request):
+    """Answer every request with whether the host is ready."""
+
+    def process(self) -> None:
+        ready = self.channel.factory.is_ready()
+        self.setResponseCode(200 if ready else 503)
+        self.setHeader(b'content-length', b'0')
+        self.finish()
+
+
+class _HealthListener(http.HTTPFactory):
+    """The balancer's probes."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        super().__init__()
+        self.is_ready = is_ready
+
+    def buildProtocol(self, addr: Any) -> Any:
+        channel = http.HTTPChannel()
+        channel.requestFactory = _HealthRequest  # type: ignore[assignment]
+        channel.factory = self  # type: ignore[assignment]
+        channel.timeOut = 60
+        return channel
+
+    def startFactory(self) -> None:
+        """Keep no access log."""
+
+    def stopFactory(self) -> None:
+        """There is no access log to close."""
+
+    def log(self, request: Any) -> None:
+        """Probes are not logged."""
--- /dev/null
+++ b/src/cairnloom/entry/state.py
@@ -0,0 +1,101 @@
+"""What the stages of one host share."""
+
+import dataclasses
+from typing import Any
+from typing import Protocol
+
+from twisted.web import http_headers
+
+from ..admission import budgets
+from ..coordination import usage
+from ..routing import instances
+from ..routing import placing
+from ..routing import trackers
+from ..routing import work
+from ..runtime import metrics
+
+from . import knowledge
+from . import settings
+from . import upstream
+
+
+class Dialect(Protocol):
+    """How requests and answers are written for the platform's endpoints."""
+
+    def read_asked(self, headers: http_headers.Headers) -> work.Asked:
+        """Read what a caller said."""
+
+    def write_headers(
+        self, given: Any, asked: work.Asked, orders: work.Orders
+    ) -> http_headers.Headers:
+        """Write what an endpoint gets."""
+
+    def read_head(
+        self, status: int, headers: http_headers.Headers
+    ) -> work.Head:
+        """Read the head of an answer."""
+
+    def read_cache_handle(self, body: bytes) -> work.CacheHandle:
+        """Read the answer to a prefill."""
+
+    def write_retry_after(self, seconds: float) -> tuple[bytes, bytes]:
+        """Write when a caller should come back."""
+
+
+class Engines(Protocol):
+    """What engines take apart from callers' requests."""
+
+    async def free_cache(
+        self, instance: instances.Instance, handle: str
+    ) -> None:
+        """Free a prompt's cache that nobody will take."""
+
+
+@dataclasses.dataclass
+class Host:
+    """The parts of one host, each owned by one task."""
+
+    settings: settings.HostSettings
+    reactor: Any
+    dialect: Dialect
+    engines: Engines
+    knowledge: knowledge.Knowledge
+    upstream: upstream.Upstream
+    trackers: trackers.Trackers
+    placer: placing.Placer
+    book: usage.UsageBook
+    metrics: metrics.Metrics
+    hosts: int = 1
+    leaving: bool = False
+    clock_offset: float = 0.0
+    retry_budgets: dict[str, budgets.SharedBudget] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def now(self) -> float:
+        """Return the steady time in seconds."""
+        return float(self.reactor.seconds())
+
+    def budget(self, service: str) -> budgets.SharedBudget:
+        """Return the budget for repeats to a service."""
+        found = self.retry_budgets.get(service)
+        if found is None:
+            bounds = self.settings.bounds
+            found = self.retry_budgets[service] = budgets.SharedBudget(
+                budgets.BudgetSettings(
+                    bounds.retry_share,
+                    bounds.retry_slack,
+                    bounds.retry_window,
+                )
+            )
+        return found
+
+    def window(self, at: float) -> int:
+        """Return the usage window of a steady time."""
+        true = at + self.clock_offset
+        return int(true // self.settings.bounds.usage_window)
+
+    def count_run(self, team: str, at: float) -> None:
+        """Note that a request of a team began to run."""
+        figures = usage.Figures(requests=1)
+        self.book.record(team, figures, self.window(at))
--- a/src/cairnloom/gateway/state.py
+++ b/src/cairnloom/gateway/state.py
@@ -9,13 +9,13 @@
 from ..admission import limits
 from ..admission import predictions
 from ..admission import queues
+from ..backing import services
+from ..backing import tables
 from ..coordination import configuration
 from ..coordination import freshness
 from ..coordination import membership
 from ..coordination import usage
 from ..endpoints import engines
-from ..platform import services
-from ..platform import tables
 from ..protocol import client
 from ..protocol import messages
 from ..routing import choice
--- a/src/cairnloom/platform/__init__.py
+++ b/src/cairnloom/platform/__init__.py
@@ -1,4 +1,6 @@
-"""Adapters to the platform's services, one module each.
+"""Translation between the project's types and the Atlas platform.
 
-Nothing above these modules knows which platform it has.
+Every name of the platform stands in this package alone: settings, headers,
+rows, reports and calls are decoded into the project's data classes on the way
+in and encoded on the way out. Decisions are made elsewhere.
 """
--- /dev/null
+++ b/src/cairnloom/platform/configuration.py
@@ -0,0 +1,175 @@
+"""Decode the operator's row into a routing table."""
+
+from typing import Any
+
+import orjson
+import pydantic
+
+from .. import exceptions
+from ..protocol import codec
+from ..routing import routes
+
+TABLE = 'op'
+KEY = 'config'
+
+_KINDS: dict[str, routes.Kind] = {
+    'safe': 'idempotent',
+    'unsafe': 'once',
+    'streaming': 'stream',
+}
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='ignore', frozen=True)
+
+
+class _Share(_Model):
+    Service: str
+    Weight: float = 0
+
+
+class _Route(_Model):
+    Name: str = ''
+    Host: str
+    PathPrefix: str
+    Kind: str
+    TimeoutMs: float = 30000
+    TargetLatencyMs: float = 1000
+    Priority: int = 5
+    Service: str = ''
+    TrafficSplit: list[_Share] = []
+    MaxAttempts: int = 1
+    Anonymous: bool = False
+    Sticky: bool = False
+    Resumable: bool = False
+    GapAimMs: float = 0
+
+
+class _Engine(_Model):
+    Slots: int = 1
+    KvTokens: int = 0
+    TokenKvBytes: float = 0
+    # Megabits, of 10**6 bits.
+    LinkMbps: float = 1e6
+    HandleTtlS: float = 5
+    RoleSwitchS: float = 3
+
+
+class _Scaling(_Model):
+    MinReplicas: int = 0
+    MaxReplicas: int = 0
+    BootTimeoutS: float = 0
+    SpotPrice: float | None = None
+    ZonePrices: dict[str, float] = {}
+
+
+class _Service(_Model):
+    Name: str
+    HealthPath: str = '/'
+    MaxConnections: int = 100
+    Engine: _Engine | None = None
+    Scaling: _Scaling | None = None
+
+
+class _Limits(_Model):
+    MaxHeaderBytes: int = 16384
+    MaxBodyBytes: int = 4194304
+    HeaderTimeoutMs: float = 3000
+    IdleTimeoutMs: float = 15000
+
+
+class _Tenant(_Model):
+    Name: str
+    ApiKeys: list[str] = []
+    Priority: int | None = None
+
+
+class _Configuration(_Model):
+    Version: int
+    Routes: list[_Route] = []
+    Services: list[_Service] = []
+    Limits: _Limits = _Limits()
+    Tenants: list[_Tenant] = []
+
+
+def decode(data: bytes) -> routes.RoutingTable:
+    """Read the row's bytes.
+
+    Raises :class:`~cairnloom.exceptions.ProtocolError` with each fault.
+    """
+    try:
+        plain: Any = orjson.loads(data)
+        found = _Configuration.model_validate(plain)
+    except orjson.JSONDecodeError as fault:
+        raise exceptions.ProtocolError(str(fault)) from fault
+    except pydantic.ValidationError as fault:
+        raise exceptions.ProtocolError(codec.describe_faults(fault)) from fault
+    return routes.RoutingTable(
+        found.Version,
+        [_read_route(route) for route in found.Routes if route.Kind in _KINDS],
+        [_read_service(service) for service in found.Services],
+        [
+            routes.Team(team.Name, tuple(team.ApiKeys), team.Priority)
+            for team in found.Tenants
+        ],
+        routes.CallerLimits(
+            found.Limits.MaxHeaderBytes,
+            found.Limits.MaxBodyBytes,
+            found.Limits.HeaderTimeoutMs / 1000,
+            found.Limits.IdleTimeoutMs / 1000,
+        ),
+    )
+
+
+def _read_route(found: _Route) -> routes.Route:
+    shares = tuple(
+        routes.Share(share.Service, share.Weight)
+        for share in found.TrafficSplit
+        if share.Weight > 0
+    )
+    return routes.Route(
+        name=found.Name,
+        host=found.Host,
+        prefix=found.PathPrefix,
+        kind=_KINDS[found.Kind],
+        shares=shares or (routes.Share(found.Service, 1.0),),
+        timeout=found.TimeoutMs / 1000,
+        first_answer=found.TargetLatencyMs / 1000,
+        pause=found.GapAimMs / 1000,
+        priority=found.Priority,
+        attempts=max(1, found.MaxAttempts),
+        open=found.Anonymous,
+        sticky=found.Sticky,
+        resumable=found.Resumable,
+    )
+
+
+def _read_service(found: _Service) -> routes.Service:
+    return routes.Service(
+        name=found.Name,
+        health_path=found.HealthPath,
+        connections=found.MaxConnections,
+        engine=_read_engine(found.Engine) if found.Engine else None,
+        scaling=_read_scaling(found.Scaling) if found.Scaling else None,
+    )
+
+
+def _read_engine(found: _Engine) -> routes.EngineModel:
+    return routes.EngineModel(
+        slots=found.Slots,
+        memory_tokens=found.KvTokens,
+        token_bytes=int(found.TokenKvBytes),
+        link_bytes_per_second=found.LinkMbps * 1e6 / 8,
+        handle_seconds=found.HandleTtlS,
+        role_change_seconds=found.RoleSwitchS,
+    )
+
+
+def _read_scaling(found: _Scaling) -> routes.Scaling:
+    return routes.Scaling(
+        least=found.MinReplicas,
+        most=found.MaxReplicas,
+        start_seconds=found.BootTimeoutS,
+        prices=dict(found.ZonePrices),
+        cheap_price=found.SpotPrice,
+    )
--- /dev/null
+++ b/src/cairnloom/platform/engines.py
@@ -0,0 +1,118 @@
+"""Orders to engines, their reports, and the release of kept caches."""
+
+import dataclasses
+from typing import Any
+
+import orjson
+from twisted.web import http_headers
+
+from .. import exceptions
+from ..protocol import client
+from ..routing import instances
+
+from . import names
+
+TIMEOUT_SECONDS = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """What an engine says of itself, some hundred milliseconds old.
+
+    ``sequence`` counts the orders it accepted since its start.
+    """
+
+    role: str
+    changing: bool
+    sequence: int
+    waiting: int
+    running: int
+    used_tokens: int
+    total_tokens: int
+
+
+class Engines:
+    """Speak to engines apart from callers' requests."""
+
+    def __init__(self, http: client.HttpClient, host: str) -> None:
+        self._http = http
+        self._host = host
+
+    async def report(self, instance: instances.Instance) -> Report:
+        """Read an engine's report.
+
+        Raises :class:`~cairnloom.exceptions.EndpointError`.
+        """
+        reply = await self._call('GET', instance, '/v1/report')
+        try:
+            found: Any = orjson.loads(reply.body)
+            return Report(
+                role=str(found['Stage']),
+                changing=bool(found['Busy']),
+                sequence=int(found['Sequence']),
+                waiting=int(found.get('Waiting', 0)),
+                running=int(found.get('Running', 0)),
+                used_tokens=int(found.get('KvUsed', 0)),
+                total_tokens=int(found.get('KvTotal', 0)),
+            )
+        except (
+            orjson.JSONDecodeError,
+            KeyError,
+            TypeError,
+            ValueError,
+        ) as fault:
+            raise exceptions.EndpointError(
+                'report: %r' % fault, True
+            ) from fault
+
+    async def change_role(
+        self,
+        instance: instances.Instance,
+        role: str,
+        fence: int,
+        sequence: int,
+    ) -> bool:
+        """Order a role once; false if the engine refused.
+
+        The order counts only while the engine has accepted ``sequence``
+        orders. Raises :class:`~cairnloom.exceptions.EndpointError`.
+        """
+        body = {
+            'Operation': 'Stage',
+            'Stage': role,
+            'Holder': self._host,
+            'FencingToken': fence,
+            # The number of orders that the engine must have accepted.
+            'ExpectedRev': sequence,
+        }
+        reply = await self._call(
+            'POST', instance, '/v1/order', orjson.dumps(body)
+        )
+        return reply.status in (200, 202)
+
+    async def free_cache(
+        self, instance: instances.Instance, handle: str
+    ) -> None:
+        """Free a prompt's cache that nobody will take.
+
+        Raises :class:`~cairnloom.exceptions.EndpointError`.
+        """
+        await self._call('DELETE', instance, '/v1/kv-handle/' + handle)
+
+    async def _call(
+        self,
+        method: str,
+        instance: instances.Instance,
+        path: str,
+        body: bytes = b'',
+    ) -> client.Reply:
+        url = 'http://%s:%d%s' % (instance.address, instance.port, path)
+        headers = http_headers.Headers(
+            {names.EXPECTED_INSTANCE: [instance.name.encode()]}
+        )
+        try:
+            return await self._http.exchange(
+                method, url, body, TIMEOUT_SECONDS, headers
+            )
+        except exceptions.TransportError as fault:
+            raise exceptions.EndpointError(str(fault), fault.sent) from fault
--- /dev/null
+++ b/src/cairnloom/platform/intake.py
@@ -0,0 +1,78 @@
+"""The platform's interface for usage reports and for endpoint counts."""
+
+import orjson
+from twisted.web import http_headers
+
+from .. import exceptions
+from ..entry import settings
+from ..protocol import client
+
+from . import names
+
+# Orders and reports are dropped rather than sent late.
+TIMEOUT_SECONDS = 1.0
+# No endpoints of this kind are to be had at the moment.
+_UNAVAILABLE = 409
+
+
+class Intake:
+    """Send calls that only the holder of a duty may send."""
+
+    def __init__(
+        self, http: client.HttpClient, at: settings.Address, host: str
+    ) -> None:
+        self._http = http
+        self._base = 'http://%s:%d' % (at.host, at.port)
+        self._host = host
+
+    async def report_usage(
+        self, window: int, fence: int, counts: dict[str, int]
+    ) -> None:
+        """Report how many requests of each team began in a window.
+
+        Raises :class:`~cairnloom.exceptions.PlatformError`.
+        """
+        await self._send(
+            '/usage', fence, {'WindowSeq': window, 'Counts': counts}
+        )
+
+    async def order_count(
+        self, service: str, domain: str, count: int, cheap: bool, fence: int
+    ) -> bool:
+        """Order how many endpoints a failure domain has.
+
+        False if there are none to be had there now. Raises
+        :class:`~cairnloom.exceptions.PlatformError`.
+        """
+        body = {'Service': service, 'Zone': domain, 'DesiredCount': count}
+        if cheap:
+            body['Spot'] = True
+        status = await self._send('/scale', fence, body, _UNAVAILABLE)
+        return status != _UNAVAILABLE
+
+    async def _send(
+        self, path: str, fence: int, body: dict, accepted: int = 200
+    ) -> int:
+        headers = http_headers.Headers(
+            {
+                names.HOLDER: [self._host.encode()],
+                names.FENCE: [b'%d' % fence],
+            }
+        )
+        try:
+            reply = await self._http.exchange(
+                'POST',
+                self._base + path,
+                orjson.dumps(body),
+                TIMEOUT_SECONDS,
+                headers,
+            )
+        except exceptions.TransportError as fault:
+            raise exceptions.PlatformError(
+                'intake: %s' % fault, fault.sent
+            ) from fault
+        if reply.status not in (200, accepted):
+            raise exceptions.PlatformError(
+                'intake: status %d' % reply.status, reply.status != 429
+            )
+        return reply.status
--- /dev/null
+++ b/src/cairnloom/platform/program.py
@@ -0,0 +1,49 @@
+"""The program as it runs on the platform: settings in, parts wired."""
+
+import sys
+from typing import Any
+
+from ..entry import program
+from ..protocol import client
+from ..runtime import clock
+from ..runtime import programs
+
+from . import engines
+from . import intake
+from . import requests
+from . import settings
+from . import sources
+from . import store
+
+
+def main() -> None:
+    """Run until told to stop."""
+    loaded = settings.load()
+    if loaded.is_error():
+        for fault in loaded.error:
+            print('settings: %s' % fault, file=sys.stderr)
+        sys.exit(programs.EXIT_BAD_SETTINGS)
+    chosen = loaded.ok
+
+    def connect(http: client.HttpClient) -> program.Parts:
+        calls = store.Store(http, chosen.store, clock.read_steady)
+        return program.Parts(
+            dialect=_dialect(),
+            engines=engines.Engines(http, chosen.host),
+            intake=intake.Intake(http, chosen.intake, chosen.host),
+            store=calls,
+            sources=(
+                sources.ConfigurationSource(calls),
+                sources.DirectorySource(calls),
+            ),
+            read_idle=requests.read_idle,
+        )
+
+    programs.serve(
+        'cairnloom-entry',
+        lambda reactor: program.Program(reactor, chosen, connect),
+    )
+
+
+def _dialect() -> Any:
+    return requests
--- /dev/null
+++ b/src/cairnloom/platform/requests.py
@@ -0,0 +1,204 @@
+"""Translate headers of requests and answers."""
+
+import math
+from typing import Any
+from typing import Iterable
+
+import orjson
+from twisted.web import http_headers
+
+from .. import exceptions
+from ..routing import work
+
+from . import names
+
+_MISDIRECTED = 421
+_SCHEME = 'bearer '
+# A header of more parts names no prompt that an engine could hold.
+_MOST_PARTS = 256
+# Set per attempt, whatever the caller sent.
+_PER_ATTEMPT = names.OWN | {names.LAST_EVENT.lower()}
+
+
+def read_asked(headers: http_headers.Headers) -> work.Asked:
+    """Read what a caller said; fields that can't be read count as absent."""
+    deadline = _read_number(_first(headers, names.DEADLINE))
+    return work.Asked(
+        request_id=_first(headers, names.REQUEST_ID),
+        patience=None if deadline is None else deadline / 1000,
+        key=_read_key(headers),
+        work=_read_work(headers),
+        last_event=_read_whole(_first(headers, names.LAST_EVENT)),
+    )
+
+
+def write_headers(
+    given: Iterable[tuple[bytes, list[bytes]]],
+    asked: work.Asked,
+    orders: work.Orders,
+) -> http_headers.Headers:
+    """Return the headers that an endpoint gets."""
+    raw = [(name, values) for name, values in given]
+    dropped = names.HOP | _PER_ATTEMPT | _named_by_connection(raw)
+    headers = http_headers.Headers()
+    for name, values in raw:
+        if name.lower() not in dropped:
+            headers.setRawHeaders(name, values)
+    left = max(1, math.floor(orders.left * 1000))
+    headers.setRawHeaders(names.DEADLINE, [b'%d' % left])
+    headers.setRawHeaders(names.EXPECTED_INSTANCE, [orders.instance.encode()])
+    if orders.team:
+        headers.setRawHeaders(names.TEAM, [orders.team.encode()])
+    if orders.urgency is not None:
+        headers.setRawHeaders(names.PRIORITY, [b'%d' % orders.urgency])
+    if orders.last_event is not None:
+        headers.setRawHeaders(names.LAST_EVENT, [b'%d' % orders.last_event])
+    match orders.phase:
+        case work.Prefill(neighbour=neighbour):
+            headers.setRawHeaders(names.ROLE, [b'prefill'])
+            if neighbour:
+                headers.setRawHeaders(
+                    names.CACHE_NEIGHBOUR, [neighbour.encode()]
+                )
+        case work.Decode(address=address, handle=handle):
+            source = '%s/%s' % (address, handle)
+            headers.setRawHeaders(names.CACHE_SOURCE, [source.encode()])
+    return headers
+
+
+def read_head(status: int, headers: http_headers.Headers) -> work.Head:
+    """Read the head of an endpoint's answer."""
+    not_run = headers.hasHeader(names.NOT_RUN) or status == _MISDIRECTED
+    passed = tuple(
+        (name, value)
+        for name, values in headers.getAllRawHeaders()
+        if name.lower() not in names.HOP and name.lower() not in _INWARD
+        for value in values
+    )
+    return work.Head(
+        status=status,
+        request_id=_first(headers, names.REQUEST_ID),
+        signed=headers.hasHeader(names.SIGNATURE),
+        not_run=not_run,
+        load=_read_load(_first(headers, names.LOAD)),
+        headers=passed,
+    )
+
+
+def read_idle(headers: http_headers.Headers) -> float | None:
+    """Read for how many seconds an endpoint keeps a connection open."""
+    for value in headers.getRawHeaders(names.KEEP_ALIVE, []):
+        for item in value.split(b','):
+            name, _, text = item.strip().partition(b'=')
+            if name.strip().lower() == b'timeout' and text.isdigit():
+                return float(text)
+    return None
+
+
+def read_cache_handle(body: bytes) -> work.CacheHandle:
+    """Read the answer to a prefill.
+
+    Raises :class:`~cairnloom.exceptions.ProtocolError`.
+    """
+    try:
+        found: Any = orjson.loads(body)
+        return work.CacheHandle(str(found['Handle']), int(found['Tokens']))
+    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as fault:
+        raise exceptions.ProtocolError('cache handle: %r' % fault) from fault
+
+
+def write_retry_after(seconds: float) -> tuple[bytes, bytes]:
+    """Write when a caller should come back; the platform allows fractions."""
+    return (names.RETRY_AFTER, b'%.2f' % seconds)
+
+
+# What endpoints say to the system alone.
+_INWARD = frozenset(
+    name.lower() for name in (names.LOAD, names.INSTANCE, names.NOT_RUN)
+)
+
+
+def _named_by_connection(
+    raw: list[tuple[bytes, list[bytes]]],
+) -> frozenset[bytes]:
+    found: set[bytes] = set()
+    for name, values in raw:
+        if name.lower() == b'connection':
+            for value in values:
+                found.update(
+                    item.strip().lower() for item in value.split(b',')
+                )
+    # A caller can't have what identifies its request taken out.
+    return frozenset(found - _KEPT)
+
+
+_KEPT = frozenset(
+    name.lower()
+    for name in (
+        names.REQUEST_ID,
+        names.MODEL,
+        names.TOKENS,
+        names.PROMPT_PARTS,
+        names.LENGTH_HINT,
+    )
+) | {b'host'}
+
+
+def _read_work(headers: http_headers.Headers) -> work.Work | None:
+    model = _first(headers, names.MODEL)
+    counts = _first(headers, names.TOKENS).split(',')
+    if not model or len(counts) != 2:
+        return None
+    prompt, output = (_read_whole(count) for count in counts)
+    if prompt is None or output is None:
+        return None
+    parts = _read_parts(_first(headers, names.PROMPT_PARTS))
+    return work.Work(model, prompt, output, parts)
+
+
+def _read_parts(text: str) -> tuple[work.Part, ...]:
+    found = []
+    for item in text.split(',')[:_MOST_PARTS]:
+        name, colon, count = item.strip().partition(':')
+        tokens = _read_whole(count)
+        if not colon or not name or tokens is None:
+            break
+        found.append(work.Part(name, tokens))
+    return tuple(found)
+
+
+def _read_key(headers: http_headers.Headers) -> str:
+    text = _first(headers, names.AUTHORIZATION)
+    if not text.lower().startswith(_SCHEME):
+        return ''
+    return text[len(_SCHEME) :].strip()
+
+
+def _read_load(text: str) -> work.Load | None:
+    counts = [_read_whole(item) for item in text.split(',')]
+    if len(counts) != 3:
+        return None
+    running, waiting, slots = counts
+    if running is None or waiting is None or slots is None:
+        return None
+    return work.Load(running, waiting, slots)
+
+
+def _first(headers: http_headers.Headers, name: bytes) -> str:
+    values = headers.getRawHeaders(name)
+    return values[0].decode('latin-1') if values else ''
+
+
+def _read_whole(text: str) -> int | None:
+    stripped = text.strip()
+    if not stripped.isascii() or not stripped.isdigit():
+        return None
+    return int(stripped)
+
+
+def _read_number(text: str) -> float | None:
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number >= 0 else None
--- /dev/null
+++ b/src/cairnloom/platform/settings.py
@@ -0,0 +1,132 @@
+"""Read the platform's settings file into the program's settings."""
+
+import os
+import pathlib
+from typing import Any
+
+import expression
+import pydantic
+
+from ..entry import settings
+from ..protocol import codec
+
+PATH_VARIABLE = 'CAIRNLOOM_CONFIG'
+# The platform counts memory in binary megabytes.
+_MEGABYTE = 1024 * 1024
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='ignore', frozen=True)
+
+
+class _Listen(_Model):
+    Front: str
+    Ready: str
+    Control: str = ''
+
+
+class _Limits(_Model):
+    MemoryMb: float = 0
+    MaxFds: int = 4096
+
+
+class _Bounds(_Model):
+    ContactMs: float = 3000
+    DrainMs: float = 2000
+    GraceS: float = 8
+    ConfigApplyMs: float = 2000
+    RetryBudgetRatio: float = 0.2
+    BudgetWindowS: float = 10
+    RetrySlack: float = 50
+    LeaseMs: float = 3000
+    ReportWindowS: float = 5
+    UsageLateS: float = 10
+    ReuseWindowS: float = 10
+
+
+class _Store(_Model):
+    Address: str
+
+
+class _Cloud(_Model):
+    Address: str
+    Duties: list[str] = []
+
+
+class _Settings(_Model):
+    NodeName: str = pydantic.Field(min_length=1)
+    Ip: str
+    Zone: str
+    Zones: dict[str, Any] = {}
+    Listen: _Listen
+    InternalPorts: tuple[int, int]
+    Seeds: list[str] = []
+    Limits: _Limits = _Limits()
+    Bounds: _Bounds = _Bounds()
+    Platform: _Store
+    CloudApi: _Cloud
+
+
+def load(
+    path: str = '',
+) -> expression.Result[settings.HostSettings, list[str]]:
+    """Read and check the file; the error lists every fault with its path."""
+    name = path or os.environ.get(PATH_VARIABLE, '')
+    try:
+        return expression.Ok(parse(pathlib.Path(name).read_bytes()))
+    except OSError as fault:
+        return expression.Error(['%s: %s' % (name, fault.strerror)])
+    except pydantic.ValidationError as fault:
+        return expression.Error(codec.list_faults(fault))
+    except ValueError as fault:
+        return expression.Error([str(fault)])
+
+
+def parse(data: bytes) -> settings.HostSettings:
+    """Decode the file's bytes."""
+    found = _Settings.model_validate_json(data)
+    return settings.HostSettings(
+        host=found.NodeName,
+        failure_domain=found.Zone,
+        domains=tuple(found.Zones),
+        callers=parse_address(found.Listen.Front),
+        health=parse_address(found.Listen.Ready),
+        internal=settings.Address(found.Ip, found.InternalPorts[0]),
+        # The platform names addresses that another role serves; peers listen
+        # beside them, on the internal port.
+        seeds=tuple(parse_address(seed).host for seed in found.Seeds),
+        store=parse_address(found.Platform.Address),
+        intake=parse_address(found.CloudApi.Address),
+        duties=tuple(found.CloudApi.Duties),
+        bounds=_read_bounds(found.Bounds),
+        memory_bytes=int(found.Limits.MemoryMb * _MEGABYTE),
+        descriptors=found.Limits.MaxFds,
+    )
+
+
+def parse_address(text: str) -> settings.Address:
+    """Read IP:PORT; raise ``ValueError`` for anything else.
+
+    >>> parse_address('10.0.0.1:80')
+    Address(host='10.0.0.1', port=80)
+    """
+    host, colon, port = text.rpartition(':')
+    if not colon or not host or not port.isdecimal():
+        raise ValueError('%r is not an address with a port' % text)
+    return settings.Address(host, int(port))
+
+
+def _read_bounds(found: _Bounds) -> settings.Bounds:
+    return settings.Bounds(
+        contact=found.ContactMs / 1000,
+        drain=found.DrainMs / 1000,
+        grace=found.GraceS,
+        apply=found.ConfigApplyMs / 1000,
+        retry_share=found.RetryBudgetRatio,
+        retry_window=found.BudgetWindowS,
+        retry_slack=found.RetrySlack,
+        lease=found.LeaseMs / 1000,
+        usage_window=found.ReportWindowS,
+        usage_due=found.UsageLateS,
+        cache_reuse=found.ReuseWindowS,
+    )
--- /dev/null
+++ b/src/cairnloom/platform/sources.py
@@ -0,0 +1,92 @@
+"""The rows that the platform's operator and endpoints write, as sources."""
+
+from .. import exceptions
+from ..entry import knowledge
+from ..routing import instances
+from ..runtime import logs
+
+from . import configuration
+from . import directory
+from . import store
+
+
+class ConfigurationSource:
+    """The operator's row."""
+
+    name = 'configuration'
+
+    def __init__(self, calls: store.Store) -> None:
+        self._store = calls
+        self.data: bytes = b''
+
+    async def read(self) -> knowledge.Update:
+        """Read the row."""
+        return self._decode(await self._store.list_rows(configuration.TABLE))
+
+    async def follow(self, version: int) -> knowledge.Update | None:
+        """Wait for a change of the row."""
+        found = await self._store.follow(configuration.TABLE, version)
+        if isinstance(found, store.HistoryLost):
+            return None
+        return self._decode(found)
+
+    def decode(self, data: bytes) -> knowledge.Update:
+        """Decode the row's bytes, also those that a peer passed on."""
+        try:
+            table = configuration.decode(data)
+        except exceptions.ProtocolError as fault:
+            logs.note('configuration_unreadable', reason=str(fault))
+            return knowledge.Update(0)
+        self.data = data
+        return knowledge.Update(0, table=table)
+
+    def _decode(self, listing: store.Listing) -> knowledge.Update:
+        table = None
+        for row in listing.rows:
+            if row.key == configuration.KEY and row.data is not None:
+                table = self.decode(row.data).table
+        return knowledge.Update(
+            listing.version, table=table, store_seconds=listing.store_seconds
+        )
+
+
+class DirectorySource:
+    """The rows in which endpoints register themselves."""
+
+    name = 'endpoints'
+
+    def __init__(self, calls: store.Store) -> None:
+        self._store = calls
+
+    async def read(self) -> knowledge.Update:
+        """Read every row."""
+        return self._decode(await self._store.list_rows(directory.TABLE), True)
+
+    async def follow(self, version: int) -> knowledge.Update | None:
+        """Wait for rows that change."""
+        found = await self._store.follow(directory.TABLE, version)
+        if isinstance(found, store.HistoryLost):
+            return None
+        return self._decode(found, False)
+
+    def _decode(self, listing: store.Listing, whole: bool) -> knowledge.Update:
+        changes = []
+        for row in listing.rows:
+            found = None
+            if row.data is not None:
+                found = directory.decode(row.key, row.data)
+                if found is None:
+                    logs.note(
+                        'endpoint_unreadable',
+                        name=row.key,
+                        version=row.version,
+                    )
+                    if whole:
+                        continue
+            changes.append(instances.Change(row.key, row.version, found))
+        return knowledge.Update(
+            listing.version,
+            changes=tuple(changes),
+            whole=whole,
+            store_seconds=listing.store_seconds,
+        )
--- /dev/null
+++ b/src/cairnloom/platform/store.py
@@ -0,0 +1,289 @@
+"""The platform's metadata store, as the coordination parts know a table.
+
+All rows of the system lie in one table. The value of a row holds the id of
+the transaction that wrote it, so that a write whose reply was lost is
+recognised when it is read back.
+"""
+
+import base64
+import dataclasses
+from typing import Any
+from typing import Callable
+from urllib import parse
+
+import expression
+import orjson
+
+from .. import exceptions
+from ..coordination import rows
+from ..entry import settings
+from ..protocol import client
+
+TABLE = 'cairnloom'
+# A call takes some milliseconds; longer means an outage or a lost reply.
+TIMEOUT_SECONDS = 1.0
+# The longest wait that the store grants, less than its quiet limit.
+FEED_WAIT_SECONDS = 20.0
+# A dead connection looks like a quiet one for this long after the wait.
+FEED_SLACK_SECONDS = 1.5
+# Slower replies say too little about the store's clock.
+CLOCK_ROUND_TRIP_SECONDS = 0.05
+_LARGEST_KEY_BYTE = '\x7f'
+
+
+@dataclasses.dataclass(frozen=True)
+class RawRow:
+    """A row of any table as it lies in the store; None where removed."""
+
+    key: str
+    version: int
+    data: bytes | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Listing:
+    """Rows as of one moment.
+
+    ``store_seconds`` is the store's steady clock, which all hosts share.
+    """
+
+    rows: list[RawRow]
+    version: int
+    store_seconds: float
+    truncated: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class HistoryLost:
+    """The store no longer has the changes that were asked for."""
+
+
+class Store:
+    """Speak to the store.
+
+    What the coordination parts call gives errors as values; the rest raises
+    :class:`~cairnloom.exceptions.PlatformError`.
+    """
+
+    def __init__(
+        self,
+        http: client.HttpClient,
+        at: settings.Address,
+        seconds: Callable[[], float],
+    ) -> None:
+        self._http = http
+        self._seconds = seconds
+        # How far the store's clock is ahead of this host's steady one.
+        self.ahead: float | None = None
+        self._base = 'http://%s:%d' % (at.host, at.port)
+        self.reads = 0
+        self.writes = 0
+
+    async def read(
+        self, key: str
+    ) -> expression.Result[rows.Row, exceptions.PlatformError]:
+        """Read one row of the system's own table."""
+        try:
+            listing = await self._list(TABLE, key, key + '\x01', 1)
+        except exceptions.PlatformError as fault:
+            return expression.Error(fault)
+        for row in listing.rows:
+            if row.key == key:
+                return _decode_row(row)
+        return expression.Ok(rows.Row(key))
+
+    async def scan(
+        self, prefix: str, after: str = ''
+    ) -> expression.Result[rows.Scan, exceptions.PlatformError]:
+        """Read the rows under a prefix whose keys come after a given one."""
+        start = after + '\x01' if after else prefix
+        try:
+            listing = await self._list(
+                TABLE, start, prefix + _LARGEST_KEY_BYTE
+            )
+        except exceptions.PlatformError as fault:
+            return expression.Error(fault)
+        found = [_decode_row(row) for row in listing.rows]
+        return expression.Ok(
+            rows.Scan([row.ok for row in found if row.is_ok()])
+        )
+
+    async def commit(
+        self, transaction: rows.Transaction
+    ) -> expression.Result[rows.Outcome, exceptions.PlatformError]:
+        """Carry out a transaction once; it is never sent again here."""
+        self.writes += 1
+        try:
+            reply = await self._call(
+                'POST', '/v1/rows-tx', orjson.dumps(_encode(transaction))
+            )
+            body = _parse(reply.body)
+            if reply.status == 412:
+                return expression.Ok(_read_conflict(body))
+            version = int(body['Ver'])
+        except exceptions.PlatformError as fault:
+            return expression.Error(fault)
+        except (KeyError, TypeError, ValueError) as fault:
+            return expression.Error(
+                exceptions.PlatformError('store: %r' % fault, True)
+            )
+        return expression.Ok(
+            rows.Committed(
+                {write.key: version for write in transaction.writes}
+            )
+        )
+
+    async def list_rows(self, table: str) -> Listing:
+        """Read a table whole.
+
+        Raises :class:`~cairnloom.exceptions.PlatformError`.
+        """
+        start = ''
+        found: list[RawRow] = []
+        while True:
+            listing = await self._list(table, start)
+            found.extend(listing.rows)
+            if not listing.truncated:
+                return dataclasses.replace(listing, rows=found)
+            start = found[-1].key + '\x01'
+
+    async def follow(self, table: str, version: int) -> Listing | HistoryLost:
+        """Wait for rows of a table that changed after a version.
+
+        Raises :class:`~cairnloom.exceptions.PlatformError`.
+        """
+        query = parse.urlencode(
+            {
+                'Table': table,
+                'after': version,
+                'WaitMs': int(FEED_WAIT_SECONDS * 1000),
+            }
+        )
+        reply = await self._call(
+            'GET',
+            '/v1/rows-feed?' + query,
+            timeout=FEED_WAIT_SECONDS + FEED_SLACK_SECONDS,
+        )
+        if reply.status == 410:
+            return HistoryLost()
+        return _read_listing(_parse(reply.body))
+
+    async def _list(
+        self, table: str, start: str = '', end: str = '', limit: int = 500
+    ) -> Listing:
+        self.reads += 1
+        query: dict[str, Any] = {'Table': table, 'part': '', 'Limit': limit}
+        if start:
+            query['From'] = start
+        if end:
+            query['To'] = end
+        sent_at = self._seconds()
+        reply = await self._call(
+            'GET', '/v1/rows-get?' + parse.urlencode(query)
+        )
+        listing = _read_listing(_parse(reply.body))
+        self._note_clock(sent_at, listing.store_seconds)
+        return listing
+
+    def _note_clock(self, sent_at: float, store_seconds: float) -> None:
+        now = self._seconds()
+        if now - sent_at < CLOCK_ROUND_TRIP_SECONDS:
+            self.ahead = store_seconds - (sent_at + now) / 2
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        timeout: float = TIMEOUT_SECONDS,
+    ) -> client.Reply:
+        try:
+            reply = await self._http.exchange(
+                method, self._base + path, body, timeout
+            )
+        except exceptions.TransportError as fault:
+            raise exceptions.PlatformError(
+                'store: %s' % fault, fault.sent
+            ) from fault
+        if reply.status not in (200, 410, 412):
+            # 429 and 503 say that nothing was done.
+            raise exceptions.PlatformError(
+                'store: status %d' % reply.status,
+                reply.status not in (429, 503),
+            )
+        return reply
+
+
+def _encode(transaction: rows.Transaction) -> dict[str, Any]:
+    conditions: list[rows.Write | rows.Check] = [
+        *transaction.writes,
+        *transaction.checks,
+    ]
+    expected = [
+        _name(item.key) | {'Ver': item.expected_version} for item in conditions
+    ]
+    puts = [
+        _name(write.key)
+        | {
+            'Value': base64.b64encode(
+                orjson.dumps({'v': write.value, 'id': transaction.write_id})
+            ).decode()
+        }
+        for write in transaction.writes
+    ]
+    return {'ExpectedRev': expected, 'Put': puts, 'Remove': []}
+
+
+def _name(key: str) -> dict[str, Any]:
+    return {'Table': TABLE, 'part': '', 'Key': key}
+
+
+def _parse(body: bytes) -> dict[str, Any]:
+    try:
+        found = orjson.loads(body)
+    except orjson.JSONDecodeError as fault:
+        raise exceptions.PlatformError('store: %s' % fault, True) from fault
+    if not isinstance(found, dict):
+        raise exceptions.PlatformError('store: not an object', True)
+    return found
+
+
+def _read_listing(body: dict[str, Any]) -> Listing:
+    try:
+        found = [
+            _read_raw(row) for row in body['Rows'] if isinstance(row, dict)
+        ]
+        return Listing(
+            found,
+            int(body['Ver']),
+            float(body.get('NowMs', 0)) / 1000,
+            bool(body.get('Truncated')),
+        )
+    except (KeyError, TypeError, ValueError) as fault:
+        raise exceptions.PlatformError('store: %r' % fault) from fault
+
+
+def _read_raw(row: dict[str, Any]) -> RawRow:
+    if row.get('Removed'):
+        return RawRow(row['Key'], int(row['Ver']), None)
+    data = base64.b64decode(row.get('Value', ''))
+    return RawRow(row['Key'], int(row['Ver']), data)
+
+
+def _read_conflict(body: dict[str, Any]) -> rows.Conflict:
+    found = [_decode_row(_read_raw(row)) for row in body.get('Rows', [])]
+    return rows.Conflict([row.ok for row in found if row.is_ok()])
+
+
+def _decode_row(
+    raw: RawRow,
+) -> expression.Result[rows.Row, exceptions.PlatformError]:
+    try:
+        body = orjson.loads(raw.data or b'')
+        return expression.Ok(
+            rows.Row(raw.key, raw.version, body['v'], body['id'])
+        )
+    except (orjson.JSONDecodeError, KeyError, TypeError) as fault:
+        return expression.Error(
+            exceptions.PlatformError('row %s: %r' % (raw.key, fault))
+        )
--- a/src/cairnloom/reporter/program.py
+++ b/src/cairnloom/reporter/program.py
@@ -5,13 +5,13 @@
 
 from .. import exceptions
 from .. import settings
+from ..backing import services
+from ..backing import tables
 from ..coordination import actions
 from ..coordination import events
 from ..coordination import rows
 from ..coordination import sealing
 from ..coordination import usage
-from ..platform import services
-from ..platform import tables
 from ..protocol import client
 from ..protocol import codec
 from ..protocol import server
--- /dev/null
+++ b/src/cairnloom/routing/instances.py
@@ -0,0 +1,151 @@
+"""Which endpoints there are, as the platform lists them.
+
+Feeds the choice of an endpoint. An instance is one start of an endpoint; a
+restart is a new instance even where it keeps its name.
+"""
+
+import dataclasses
+from typing import Literal
+
+# Entries that lapsed during an outage come back within this time.
+OUTAGE_GRACE_SECONDS = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Instance:
+    """One start of an endpoint.
+
+    ``born`` is its start in milliseconds of Unix time, 0 where unknown.
+    ``leaves_in`` is the time in seconds until it is taken away, if told.
+    """
+
+    name: str
+    service: str
+    address: str
+    port: int
+    failure_domain: str
+    state: Literal['ready', 'leaving'] = 'ready'
+    role: Literal['prefill', 'decode', ''] = ''
+    slots: int = 1
+    models: tuple[str, ...] = ()
+    cheap: bool = False
+    cold_seconds: float = 0.0
+    leaves_in: float | None = None
+    born: int = 0
+
+    @property
+    def identity(self) -> tuple[str, int]:
+        """What tells this start from others."""
+        return (self.name, self.born)
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """An entry that was written, or removed where ``instance`` is None."""
+
+    name: str
+    version: int
+    instance: Instance | None
+
+
+@dataclasses.dataclass
+class _Entry:
+    instance: Instance
+    version: int
+    missing_since: float | None = None
+
+
+class Directory:
+    """The replicated view of all instances.
+
+    Entries that go missing while the platform's store is away, or within a
+    grace time of its return, are kept until that time is over.
+    """
+
+    def __init__(self) -> None:
+        self._entries: dict[str, _Entry] = {}
+        self._removed: dict[str, int] = {}
+        self._trusted_from = float('-inf')
+        self.loaded = False
+        self.version = 0
+
+    def note_outage(self, now: float) -> None:
+        """Note that the store can't be reached, or just came back."""
+        self._trusted_from = now + OUTAGE_GRACE_SECONDS
+
+    def apply(self, change: Change, now: float) -> bool:
+        """Take one change; return whether anything changed."""
+        known = self._entries.get(change.name)
+        if known is not None and change.version < known.version:
+            return False
+        if change.version < self._removed.get(change.name, 0):
+            return False
+        if change.instance is None:
+            self._removed[change.name] = change.version
+            return self._miss(change.name, now)
+        self._removed.pop(change.name, None)
+        self._entries[change.name] = _Entry(change.instance, change.version)
+        return known is None or known.instance != change.instance
+
+    def replace(self, changes: list[Change], now: float) -> None:
+        """Take a whole listing; what it lacks has gone missing."""
+        for change in changes:
+            self.apply(change, now)
+        present = {change.name for change in changes}
+        for name in list(self._entries):
+            if name not in present:
+                self._miss(name, now)
+        self.loaded = True
+
+    def expire(self, now: float) -> list[Instance]:
+        """Drop entries that stayed missing; return them."""
+        gone = []
+        for name, entry in list(self._entries.items()):
+            since = entry.missing_since
+            if since is not None and now >= max(self._trusted_from, since):
+                gone.append(entry.instance)
+                del self._entries[name]
+        return gone
+
+    def all(self) -> list[Instance]:
+        """Return every instance that is not known to be gone."""
+        return [entry.instance for entry in self._entries.values()]
+
+    def ready(self, service: str) -> list[Instance]:
+        """Return the instances of a service that take new work."""
+        return [
+            entry.instance
+            for entry in self._entries.values()
+            if entry.instance.service == service
+            and entry.instance.state == 'ready'
+        ]
+
+    def is_current(self, instance: Instance) -> bool:
+        """Tell whether this start of an endpoint may get new work."""
+        entry = self._entries.get(instance.name)
+        return (
+            entry is not None
+            and entry.instance.identity == instance.identity
+            and entry.instance.address == instance.address
+            and entry.instance.port == instance.port
+            and entry.instance.state == 'ready'
+        )
+
+    def changes(self) -> list[Change]:
+        """Return the view as changes, for a peer."""
+        return [
+            Change(name, entry.version, entry.instance)
+            for name, entry in self._entries.items()
+            if entry.missing_since is None
+        ]
+
+    def _miss(self, name: str, now: float) -> bool:
+        entry = self._entries.get(name)
+        if entry is None:
+            return False
+        if now < self._trusted_from and entry.instance.state == 'ready':
+            if entry.missing_since is None:
+                entry.missing_since = now
+            return False
+        del self._entries[name]
+        return True
--- /dev/null
+++ b/src/cairnloom/routing/routes.py
@@ -0,0 +1,148 @@
+"""What operators configure: routes, services, teams and limits on callers.
+
+Comes before every decision about a request: names its route and its team.
+"""
+
+import dataclasses
+from typing import Literal
+
+Kind = Literal['idempotent', 'once', 'stream']
+
+
+@dataclasses.dataclass(frozen=True)
+class Share:
+    """A service and its part of a route's traffic."""
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """A class of work; times are in seconds.
+
+    ``attempts`` bounds the endpoints that one request may be sent to.
+    ``first_answer`` is the target for the answer, or for the first event of
+    a stream, and ``pause`` the longest pause between events that is still on
+    time.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: Kind
+    shares: tuple[Share, ...]
+    timeout: float = 30.0
+    first_answer: float = 1.0
+    pause: float = 0.0
+    priority: int = 5
+    attempts: int = 1
+    open: bool = False
+    sticky: bool = False
+    resumable: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind == 'idempotent' or self.resumable
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineModel:
+    """What the engines of a service have; sizes in tokens and bytes."""
+
+    slots: int
+    memory_tokens: int
+    token_bytes: int = 0
+    link_bytes_per_second: float = 1e12
+    handle_seconds: float = 5.0
+    role_change_seconds: float = 3.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Scaling:
+    """How many endpoints a failure domain may have, and what they cost.
+
+    Prices are per endpoint and second, relative to each other.
+    ``cheap_price`` is the factor for endpoints that may be reclaimed, or
+    None where there are none.
+    """
+
+    least: int
+    most: int
+    start_seconds: float
+    prices: dict[str, float]
+    cheap_price: float | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """A group of endpoints that answer the same requests."""
+
+    name: str
+    health_path: str = '/'
+    connections: int = 100
+    engine: EngineModel | None = None
+    scaling: Scaling | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerLimits:
+    """What a caller may send, and how long it may take, in seconds."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 * 1024 * 1024
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Team:
+    """Who is served and billed; a priority goes before the route's."""
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None = None
+
+
+class RoutingTable:
+    """One version of the configuration, indexed for lookups.
+
+    >>> route = Route('r', 'h', '/a/', 'idempotent', (Share('s', 1.0),))
+    >>> table = RoutingTable(1, [route], [], [], CallerLimits())
+    >>> table.find_route('H:80', '/a/b').name
+    'r'
+    """
+
+    def __init__(
+        self,
+        version: int,
+        routes: list[Route],
+        services: list[Service],
+        teams: list[Team],
+        limits: CallerLimits,
+    ) -> None:
+        self.version = version
+        self.routes = routes
+        self.services = {service.name: service for service in services}
+        self.teams = {team.name: team for team in teams}
+        self.limits = limits
+        self.keyed = bool(teams)
+        self._by_key = {key: team for team in teams for key in team.keys}
+        self._by_host: dict[str, list[Route]] = {}
+        for route in routes:
+            self._by_host.setdefault(route.host.lower(), []).append(route)
+        for found in self._by_host.values():
+            found.sort(key=lambda route: -len(route.prefix))
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        name = host.rsplit(':', 1)[0] if ':' in host else host
+        for route in self._by_host.get(name.lower(), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def find_team(self, key: str) -> Team | None:
+        """Return the team that holds a key."""
+        return self._by_key.get(key)
--- a/src/cairnloom/routing/views.py
+++ b/src/cairnloom/routing/views.py
@@ -10,8 +10,8 @@
 
 import dataclasses
 
+from ..backing import services
 from ..endpoints import engines
-from ..platform import services
 
 EJECT_AFTER_FAILURES = 2
 EJECT_SECONDS = 5.0
--- a/src/cairnloom/runtime/leadership.py
+++ b/src/cairnloom/runtime/leadership.py
@@ -45,6 +45,10 @@
         """Return the proof of the lease, if it is surely held now."""
         return self._keeper.authority(self._clock.seconds())
 
+    def authority_for(self, seconds: float) -> leases.Authority | None:
+        """Return the proof if the lease lasts for so much longer."""
+        return self._keeper.authority(self._clock.seconds() + seconds)
+
     async def keep(self) -> None:
         """Take, renew or watch the lease; call it often."""
         await self._drive(self._step(events.Tick()))
--- a/src/cairnloom/runtime/programs.py
+++ b/src/cairnloom/runtime/programs.py
@@ -10,7 +10,6 @@
 from absl import app
 from absl import flags
 from twisted.internet import defer
-from twisted.internet import reactor as installed_reactor
 from twisted.internet import task
 from twisted.python import failure
 
@@ -18,6 +17,7 @@
 
 from .. import settings
 
+from . import clock
 from . import logs
 
 EXIT_BAD_SETTINGS = 2
@@ -30,7 +30,7 @@
 )
 _VERSION = flags.DEFINE_bool('version', False, 'Print the version and exit.')
 
-reactor: Any = installed_reactor
+reactor: Any = clock.install()
 
 
 class Daemon(Protocol):
@@ -62,6 +62,12 @@
     app.run(main)
 
 
+def serve(name: str, build: Callable[[Any], Daemon]) -> None:
+    """Run a program whose settings have been read until it is told to stop."""
+    logs.start(sys.stdout)
+    _serve(name, build(reactor))
+
+
 def _load_or_exit(shape: Any) -> Any:
     if _SETTINGS.value is None:
         print('--settings is required', file=sys.stderr)
--- a/src/cairnloom/runtime/replication.py
+++ b/src/cairnloom/runtime/replication.py
@@ -5,11 +5,11 @@
 """
 
 from .. import exceptions
+from ..backing import services
 from ..coordination import actions
 from ..coordination import configuration
 from ..coordination import documents
 from ..coordination import events
-from ..platform import services
 from ..protocol import codec
 
 from . import logs
--- a/src/cairnloom/runtime/runner.py
+++ b/src/cairnloom/runtime/runner.py
@@ -4,10 +4,10 @@
 from typing import Any
 from typing import Callable
 
+from ..backing import tables
 from ..coordination import actions
 from ..coordination import events
 from ..coordination import rows
-from ..platform import tables
 
 Step = Callable[[Any], list[Any]]
 
--- a/src/cairnloom/standins/fleet.py
+++ b/src/cairnloom/standins/fleet.py
@@ -10,7 +10,7 @@
 from twisted.web import server as web_server
 
 from .. import settings
-from ..platform import services
+from ..backing import services
 from ..protocol import codec
 from ..protocol import server
 
--- a/src/cairnloom/standins/program.py
+++ b/src/cairnloom/standins/program.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from .. import settings
+from ..backing import services
 from ..coordination import usage
-from ..platform import services
 from ..protocol import codec
 from ..protocol import server
 from ..runtime import admin
