--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -25,6 +25,7 @@
 from ..runtime import programs
 from ..runtime import runner
 
+from . import duties
 from . import front
 from . import knowledge
 from . import listener
@@ -61,7 +62,7 @@
     """What a platform's adapter gives the program."""
 
     dialect: state.Dialect
-    engines: state.Engines
+    engines: Any
     intake: Any
     store: Any
     sources: tuple[knowledge.Source, ...]
@@ -115,11 +116,16 @@
             reactor,
             self._host.metrics,
         )
-        self._reporter = reporting.Reporter(
-            self._owner,
-            chosen.bounds.usage_window,
+        self._duties = duties.Duties(
+            self._host,
             parts.intake,
-            self._runner,
+            parts.engines,
+            reporting.Reporter(
+                self._owner,
+                chosen.bounds.usage_window,
+                parts.intake,
+                self._runner,
+            ),
         )
         self._front = front.Front(self._host)
         self._listener = listener.Listener(
@@ -212,11 +218,7 @@
 
     async def _do_duties(self) -> None:
         await self._leadership.keep()
-        if self._authority() is None:
-            self._reporter.rest()
-            return
-        true_now = self._host.now() + self._host.clock_offset
-        await self._reporter.work(true_now, self._authority)
+        await self._duties.work(self._authority)
 
     def _authority(self) -> leases.Authority | None:
         return self._leadership.authority_for(CALL_MARGIN_SECONDS)
