--- a/src/cairnloom/entry/forwarding.py
+++ b/src/cairnloom/entry/forwarding.py
@@ -32,6 +32,8 @@
 RETRY_SECONDS = (0.3, 1.0)
 # How often prompts are read for one request.
 PREFILL_ROUNDS = 3
+# A cache that so many engines refused is taken as gone.
+HANDLE_REFUSALS = 2
 # Status of an endpoint's own failure.
 _FAILED = 500
 
@@ -130,21 +132,27 @@
     async def _run_model(self) -> None:
         tried: set[str] = set()
         rounds = 0
+        refusals = 0
+        phase: work.Phase = work.Whole()
         while True:
-            phase: work.Phase = work.Whole()
-            if rounds < PREFILL_ROUNDS and self._last_event is None:
-                rounds += 1
-                phase = await self._prefill(tried) or phase
+            if isinstance(phase, work.Whole) or refusals >= HANDLE_REFUSALS:
+                phase = work.Whole()
+                refusals = 0
+                if rounds < PREFILL_ROUNDS and self._last_event is None:
+                    rounds += 1
+                    phase = await self._prefill(tried) or phase
             ready = self._candidates('decode', tried)
             chosen = self._choose_decode(ready, phase)
             if chosen is None:
                 self._refuse('no engine')
                 return
             outcome = await self._attempt(chosen, phase)
-            self._handle = None
             if not self._goes_on(outcome):
                 return
             tried.add(chosen.name)
+            refusals += 1
+            if isinstance(outcome, _Failed):
+                phase = work.Whole()
 
     def _choose_decode(
         self, ready: list[instances.Instance], phase: work.Phase
@@ -196,6 +204,7 @@
             tracker.running -= 1
         if head.status != 200 or not whole:
             self._note_attempt(instance, 'prefill', 'status %d' % head.status)
+            tracker.note_failure(host.now())
             if head.not_run:
                 self._arrivals += 1
             tried.add(instance.name)
@@ -240,9 +249,9 @@
                     tracker.note_failure(self._host.now())
             case _NotRun(reason=reason, arrived=arrived):
                 self._note_attempt(instance, 'not_run', reason)
+                tracker.note_failure(self._host.now())
                 if not arrived:
                     self._arrivals -= 1
-                    tracker.note_failure(self._host.now())
             case _Answered():
                 tracker.note_success()
         return outcome
--- a/src/cairnloom/planning/stages.py
+++ b/src/cairnloom/planning/stages.py
@@ -13,6 +13,8 @@
 PREFILL_SHARE = 0.5
 # Part of the engines that may change at once, at least one.
 CHANGING_SHARE = 0.25
+# The part of the engines by which the split may be off before one changes.
+TOLERANCE_SHARE = 0.125
 # An order that shows no effect is repeated after the change's time and this.
 SETTLE_SECONDS = 4.0
 
@@ -25,11 +27,17 @@
     role: str
 
 
+@dataclasses.dataclass(frozen=True)
+class _Change:
+    role: str
+    at: float
+
+
 class StagePlanner:
     """Decide on the roles of one service's engines."""
 
     def __init__(self) -> None:
-        self._changing: dict[tuple[str, int], float] = {}
+        self._changing: dict[tuple[str, int], _Change] = {}
 
     def plan(
         self,
@@ -41,19 +49,36 @@
         ready = [
             item for item in present if item.state == 'ready' and item.role
         ]
-        for identity, at in list(self._changing.items()):
-            if now - at > change_seconds + SETTLE_SECONDS:
-                del self._changing[identity]
+        self._settle(ready, change_seconds, now)
         if len(ready) < 2:
             return []
-        reading = [item for item in ready if item.role == 'prefill']
+        reading = sum(self._role(item) == 'prefill' for item in ready)
         wanted = round(len(ready) * PREFILL_SHARE)
         wanted = min(max(wanted, 1), len(ready) - 1)
-        missing = wanted - len(reading)
+        missing = wanted - reading
+        tolerated = int(len(ready) * TOLERANCE_SHARE)
+        if reading not in (0, len(ready)) and abs(missing) <= tolerated:
+            return []
         if missing > 0:
             return self._order('decode', 'prefill', missing, ready, now)
         return self._order('prefill', 'decode', -missing, ready, now)
 
+    def _settle(
+        self,
+        ready: list[instances.Instance],
+        change_seconds: float,
+        now: float,
+    ) -> None:
+        roles = {item.identity: item.role for item in ready}
+        for identity, change in list(self._changing.items()):
+            late = now - change.at > change_seconds + SETTLE_SECONDS
+            if late or roles.get(identity) in (None, change.role):
+                del self._changing[identity]
+
+    def _role(self, item: instances.Instance) -> str:
+        change = self._changing.get(item.identity)
+        return change.role if change else item.role
+
     def _order(
         self,
         old: str,
@@ -71,7 +96,7 @@
 
         def rank(item: instances.Instance) -> tuple[int, str]:
             beside = sum(
-                other.role == new
+                self._role(other) == new
                 for other in ready
                 if other.failure_domain == item.failure_domain
             )
@@ -80,6 +105,6 @@
         movable.sort(key=rank)
         orders = []
         for item in movable[: max(0, min(count, room))]:
-            self._changing[item.identity] = now
+            self._changing[item.identity] = _Change(new, now)
             orders.append(RoleOrder(item, new))
         return orders
