--- a/src/cairnloom/entry/duties.py
+++ b/src/cairnloom/entry/duties.py
@@ -160,9 +160,7 @@
         for order in orders:
             await self._order_role(order, proof)
 
-    async def _order_role(
-        self, order: stages.RoleOrder, proof: Proof
-    ) -> None:
+    async def _order_role(self, order: stages.RoleOrder, proof: Proof) -> None:
         outcome = 'not sent'
         fence = 0
         try:
--- a/src/cairnloom/entry/forwarding.py
+++ b/src/cairnloom/entry/forwarding.py
@@ -15,6 +15,7 @@
 from ..routing import instances
 from ..routing import placing
 from ..routing import routes
+from ..routing import trackers
 from ..routing import work
 from ..runtime import logs
 
@@ -30,8 +31,8 @@
 RETURN_SECONDS = 0.01
 # Callers of a busy service come back spread over this time.
 RETRY_SECONDS = (0.3, 1.0)
-# How often prompts are read for one request.
-PREFILL_ROUNDS = 3
+# How often a request is planned anew.
+MODEL_ROUNDS = 4
 # A cache that so many engines refused is taken as gone.
 HANDLE_REFUSALS = 2
 # Status of an endpoint's own failure.
@@ -91,6 +92,7 @@
         self._ran = 0
         self._maybe_ran = False
         self._handle: tuple[instances.Instance, str] | None = None
+        self._pending: tuple[trackers.Tracker, int] | None = None
         self._last_event = asked.last_event
         self._counted = False
         self._running: defer.Deferred[None] | None = None
@@ -132,51 +134,83 @@
     async def _run_model(self) -> None:
         tried: set[str] = set()
         rounds = 0
-        refusals = 0
-        phase: work.Phase = work.Whole()
-        while True:
-            if isinstance(phase, work.Whole) or refusals >= HANDLE_REFUSALS:
-                phase = work.Whole()
-                refusals = 0
-                if rounds < PREFILL_ROUNDS and self._last_event is None:
-                    rounds += 1
-                    phase = await self._prefill(tried) or phase
-            ready = self._candidates('decode', tried)
-            chosen = self._choose_decode(ready, phase)
-            if chosen is None:
-                self._refuse('no engine')
-                return
-            outcome = await self._attempt(chosen, phase)
+        while rounds < MODEL_ROUNDS:
+            rounds += 1
+            plan = self._plan(tried)
+            if plan is None:
+                break
+            if plan.apart:
+                phase = await self._read_apart(plan.reading)
+                if phase is None:
+                    tried.add(plan.reading.instance.name)
+                    continue
+                outcome = await self._hand_over(plan.reading, phase, tried)
+            else:
+                outcome = await self._run_beside(plan.reading, tried)
+            if outcome is None:
+                break
             if not self._goes_on(outcome):
                 return
-            tried.add(chosen.name)
-            refusals += 1
-            if isinstance(outcome, _Failed):
-                phase = work.Whole()
+        self._refuse('no engine')
 
-    def _choose_decode(
-        self, ready: list[instances.Instance], phase: work.Phase
-    ) -> instances.Instance | None:
+    def _plan(self, tried: set[str]) -> placing.Plan | None:
+        asked = self._asked.work
+        assert asked is not None
+        reading = self._candidates('prefill', tried)
+        if self._last_event is not None:
+            # An answer goes on where it is generated.
+            reading = []
+        answering = self._candidates('decode', tried)
         now = self._host.now()
-        if isinstance(phase, work.Whole):
-            choice = self._choose_prefill(ready)
-            return None if choice is None else choice.instance
-        return self._host.placer.choose_decode(ready, now)
-
-    def _choose_prefill(
-        self, ready: list[instances.Instance]
-    ) -> placing.Choice | None:
-        asked, engine = self._asked.work, self._service.engine
-        assert asked is not None and engine is not None
-        return self._host.placer.choose_prefill(
-            ready, asked, engine.memory_tokens, self._host.now()
+        return self._host.placer.plan(
+            reading, answering, asked, self._route, now
         )
 
-    async def _prefill(self, tried: set[str]) -> work.Decode | None:
-        ready = self._candidates('prefill', tried)
-        choice = self._choose_prefill(ready)
-        if choice is None:
-            return None
+    async def _run_beside(
+        self, reading: placing.Reading, tried: set[str]
+    ) -> _Outcome:
+        tracker = self._host.trackers.of(reading.instance)
+        tracker.pending_tokens += reading.new_tokens
+        tried.add(reading.instance.name)
+        self._pending = (tracker, reading.new_tokens)
+        try:
+            return await self._attempt(
+                reading.instance, work.Whole(_place(reading.neighbour))
+            )
+        finally:
+            self._settle_pending()
+
+    async def _hand_over(
+        self,
+        reading: placing.Reading,
+        phase: work.Decode,
+        tried: set[str],
+    ) -> _Outcome | None:
+        asked = self._asked.work
+        assert asked is not None
+        outcome: _Outcome | None = None
+        for _ in range(HANDLE_REFUSALS):
+            chosen = self._host.placer.choose_answering(
+                self._candidates('decode', tried),
+                asked,
+                reading.instance.failure_domain,
+                self._host.now(),
+            )
+            if chosen is None:
+                return outcome
+            tried.add(chosen.name)
+            outcome = await self._attempt(chosen, phase)
+            if not isinstance(outcome, _NotRun):
+                return outcome
+        return outcome
+
+    def _settle_pending(self) -> None:
+        if self._pending is not None:
+            tracker, tokens = self._pending
+            tracker.pending_tokens -= tokens
+            self._pending = None
+
+    async def _read_apart(self, choice: placing.Reading) -> work.Decode | None:
         if self._arrivals and not self._take_budget():
             return None
         instance = choice.instance
@@ -192,12 +226,14 @@
         # A first call that only reads the prompt counts for nothing.
         try:
             head, whole = await self._exchange(
-                instance, work.Prefill(), body.extend, True
+                instance,
+                work.Prefill(_place(choice.neighbour)),
+                body.extend,
+                True,
             )
         except exceptions.EndpointError as fault:
             tracker.note_failure(host.now())
             self._note_attempt(instance, 'prefill', str(fault))
-            tried.add(instance.name)
             return None
         finally:
             tracker.pending_tokens -= choice.new_tokens
@@ -207,7 +243,6 @@
             tracker.note_failure(host.now())
             if head.not_run:
                 self._arrivals += 1
-            tried.add(instance.name)
             return None
         try:
             handle = host.dialect.read_cache_handle(bytes(body))
@@ -221,8 +256,7 @@
             host.placer.note_rate(choice.new_tokens, seconds)
         host.metrics.time('prefill', seconds)
         self._handle = (instance, handle.handle)
-        address = '%s:%d' % (instance.address, instance.port)
-        return work.Decode(address, handle.handle)
+        return work.Decode(instance.place, handle.handle)
 
     async def _attempt(
         self, instance: instances.Instance, phase: work.Phase
@@ -415,6 +449,7 @@
                 return 'event %d again' % event.number
             self._last_event = event.number
         if not self._caller.begun:
+            self._settle_pending()
             self._count_run(self._host.now())
             self.begin(head)
         self._caller.write(event.data)
@@ -516,6 +551,10 @@
         )
 
 
+def _place(instance: instances.Instance | None) -> str:
+    return instance.place if instance is not None else ''
+
+
 class _StreamReader:
     """Pass the whole events of one attempt on to the caller."""
 
--- a/src/cairnloom/planning/supply.py
+++ b/src/cairnloom/planning/supply.py
@@ -49,9 +49,7 @@
         """Return the orders that are due."""
         orders = []
         for domain in sorted(scaling.prices):
-            there = [
-                item for item in present if item.failure_domain == domain
-            ]
+            there = [item for item in present if item.failure_domain == domain]
             orders.extend(self._plan_domain(scaling, domain, there, now))
         return orders
 
@@ -89,9 +87,7 @@
         if room > 0 and now >= self._refused.get(domain, float('-inf')):
             if cheap != room:
                 orders.append(CountOrder(self._service, domain, room, True))
-        return [
-            order for order in orders if self._is_due(order, scaling, now)
-        ]
+        return [order for order in orders if self._is_due(order, scaling, now)]
 
     def _is_due(
         self, order: CountOrder, scaling: routes.Scaling, now: float
--- a/src/cairnloom/platform/requests.py
+++ b/src/cairnloom/platform/requests.py
@@ -54,18 +54,22 @@
     if orders.last_event is not None:
         headers.setRawHeaders(names.LAST_EVENT, [b'%d' % orders.last_event])
     match orders.phase:
+        case work.Whole(neighbour=neighbour):
+            _name_neighbour(headers, neighbour)
         case work.Prefill(neighbour=neighbour):
             headers.setRawHeaders(names.ROLE, [b'prefill'])
-            if neighbour:
-                headers.setRawHeaders(
-                    names.CACHE_NEIGHBOUR, [neighbour.encode()]
-                )
+            _name_neighbour(headers, neighbour)
         case work.Decode(address=address, handle=handle):
             source = '%s/%s' % (address, handle)
             headers.setRawHeaders(names.CACHE_SOURCE, [source.encode()])
     return headers
 
 
+def _name_neighbour(headers: http_headers.Headers, address: str) -> None:
+    if address:
+        headers.setRawHeaders(names.CACHE_NEIGHBOUR, [address.encode()])
+
+
 def read_head(status: int, headers: http_headers.Headers) -> work.Head:
     """Read the head of an endpoint's answer."""
     not_run = headers.hasHeader(names.NOT_RUN) or status == _MISDIRECTED
--- a/src/cairnloom/routing/instances.py
+++ b/src/cairnloom/routing/instances.py
@@ -33,6 +33,11 @@
     leaves_in: float | None = None
     born: int = 0
 
+    @property
+    def place(self) -> str:
+        """Where it listens, as address and port."""
+        return '%s:%d' % (self.address, self.port)
+
     @property
     def identity(self) -> tuple[str, int]:
         """What tells this start from others."""
--- a/src/cairnloom/routing/placing.py
+++ b/src/cairnloom/routing/placing.py
@@ -1,34 +1,61 @@
-"""Choose an endpoint for a request.
+"""Choose the endpoints of a request.
 
-Answers load that trades places between long prompts and long answers: prompts
-go where their shared parts are cached unless the wait there costs more than
-reading the parts again, and answers go where the fewest are generated.
+Answers load that trades places between long prompts and long answers, and
+engines that vanish a failure domain at a time. A prompt is read where its
+shared parts are cached, or where the queue is shorter, with the parts fetched
+from there. Short prompts are read by the engine that answers, and so is what
+would miss its target in the queue of the engines that only read.
 """
 
 import dataclasses
 import hashlib
 
 from . import instances
+from . import routes
 from . import trackers
 from . import work
 
-# Prompt tokens that an engine reads in a second until answers tell better.
+# Prompt tokens that a reading engine takes in a second, until answers tell.
 STARTING_RATE = 40000.0
+# An answering engine reads prompts between tokens, at this part of the rate.
+IN_PLACE_SPEED = 0.5
 # Weight of one answer in the learned rate.
 RATE_STEP = 0.1
 # Shorter prompts say little about the rate.
 RATE_LEAST_TOKENS = 1000
+# The part of the longest pause between events that a prompt may take from the
+# answers beside which it is read.
+PAUSE_SHARE = 0.5
+# What the way over two engines adds, in seconds.
+HANDOVER_SECONDS = 0.03
 # What another failure domain adds to the load of an endpoint, in requests.
-FAR_PENALTY = 0.3
+FAR_PENALTY = 0.5
+# What cached parts take from the load of an endpoint, in requests.
+HOME_BONUS = 0.5
+# What reading a prompt away from its home adds, in seconds: the transfer is
+# paid for.
+AWAY_SECONDS = 0.03
 
 
 @dataclasses.dataclass(frozen=True)
-class Choice:
-    """An endpoint and the time in seconds that the prompt should take."""
+class Reading:
+    """Where a prompt is read, and how long that should take in seconds."""
 
     instance: instances.Instance
     seconds: float
-    new_tokens: int = 0
+    new_tokens: int
+    neighbour: instances.Instance | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """Where a prompt is read: apart, or by the engine that answers.
+
+    Where it is read apart, the engine that answers is chosen afterwards.
+    """
+
+    reading: Reading
+    apart: bool
 
 
 class Placer:
@@ -46,54 +73,103 @@
         usable = self._usable(ready, now)
         if not usable:
             return None
-        return min(usable, key=lambda item: self._pressure(item, now))
-
-    def choose_decode(
-        self, ready: list[instances.Instance], now: float
-    ) -> instances.Instance | None:
-        """Choose where an answer is generated."""
-        return self.choose_service(ready, now)
+        return min(
+            usable, key=lambda item: self._pressure(item, self._domain, now)
+        )
 
-    def choose_prefill(
+    def choose_answering(
         self,
         ready: list[instances.Instance],
         asked: work.Work,
-        room: int,
+        domain: str,
         now: float,
-    ) -> Choice | None:
-        """Choose where a prompt is read; ``room`` is a cache in tokens."""
+    ) -> instances.Instance | None:
+        """Choose where a prompt's cache goes that was read in a domain."""
         usable = self._usable(ready, now)
         if not usable:
             return None
         home = _find_home(asked, usable)
-        choices = [
-            self._estimate(instance, asked, instance is home, now)
-            for instance in usable
-        ]
-        return min(choices, key=lambda choice: choice.seconds)
+
+        def rank(item: instances.Instance) -> float:
+            bonus = HOME_BONUS / item.slots if item is home else 0.0
+            return self._pressure(item, domain, now) - bonus
+
+        return min(usable, key=rank)
+
+    def plan(
+        self,
+        reading: list[instances.Instance],
+        answering: list[instances.Instance],
+        asked: work.Work,
+        route: routes.Route,
+        now: float,
+    ) -> Plan | None:
+        """Choose where a prompt is read, apart or by who answers."""
+        apart = self._choose_reading(reading, answering, asked, 1.0, now)
+        beside = self._choose_reading(
+            answering, reading, asked, IN_PLACE_SPEED, now
+        )
+        if beside is None:
+            return None
+        if apart is None:
+            return Plan(beside, False)
+        seconds = apart.seconds + HANDOVER_SECONDS
+        taken = beside.new_tokens / (self.rate * IN_PLACE_SPEED)
+        if taken <= PAUSE_SHARE * route.pause and beside.seconds <= seconds:
+            return Plan(beside, False)
+        if seconds > route.first_answer and beside.seconds < seconds:
+            return Plan(beside, False)
+        return Plan(apart, True)
 
     def note_rate(self, tokens: int, seconds: float) -> None:
         """Learn from a prompt that was read while nothing else was."""
         if tokens >= RATE_LEAST_TOKENS and seconds > 0:
             self.rate += RATE_STEP * (tokens / seconds - self.rate)
 
+    def _choose_reading(
+        self,
+        ready: list[instances.Instance],
+        others: list[instances.Instance],
+        asked: work.Work,
+        speed: float,
+        now: float,
+    ) -> Reading | None:
+        usable = self._usable(ready, now)
+        if not usable:
+            return None
+        home = _find_home(asked, usable)
+        elsewhere = _find_home(asked, others)
+        found = [
+            self._estimate(item, asked, home, elsewhere, speed, now)
+            for item in usable
+        ]
+        return min(found, key=lambda reading: reading.seconds)
+
     def _estimate(
         self,
-        instance: instances.Instance,
+        item: instances.Instance,
         asked: work.Work,
-        at_home: bool,
+        home: instances.Instance | None,
+        elsewhere: instances.Instance | None,
+        speed: float,
         now: float,
-    ) -> Choice:
-        tracker = self._trackers.of(instance)
-        cached = tracker.cached_tokens(asked.parts)
-        if at_home:
-            cached = max(cached, sum(part.tokens for part in asked.parts[:-1]))
+    ) -> Reading:
+        tracker = self._trackers.of(item)
+        shared = sum(part.tokens for part in asked.parts[:-1])
+        cached = max(shared, tracker.cached_tokens(asked.parts))
         new = max(0, asked.prompt_tokens - cached)
-        ahead = tracker.pending_tokens
+        rate = self.rate * speed
         others = tracker.busy(now) - tracker.running
-        average = new if not tracker.running else ahead / tracker.running
-        wait = (ahead + others * average) / self.rate
-        return Choice(instance, wait + new / self.rate, new)
+        if speed < 1.0:
+            # What answers here is not a queue; only prompts are.
+            others = 0.0
+        wait = (tracker.pending_tokens + others * new) / rate
+        seconds = wait + new / rate
+        neighbour = elsewhere
+        if item is not home and shared:
+            seconds += AWAY_SECONDS
+            neighbour = home
+        return Reading(item, seconds, new, neighbour)
 
     def _usable(
         self, ready: list[instances.Instance], now: float
@@ -105,18 +181,20 @@
         ]
         return good or ready
 
-    def _pressure(self, item: instances.Instance, now: float) -> float:
-        far = 0.0 if item.failure_domain == self._domain else FAR_PENALTY
+    def _pressure(
+        self, item: instances.Instance, domain: str, now: float
+    ) -> float:
+        far = 0.0 if item.failure_domain == domain else FAR_PENALTY
         tracker = self._trackers.of(item)
         jitter = _score(item.name, '%f' % now) * 0.1
-        return (tracker.busy(now) + far) / item.slots + jitter / item.slots
+        return (tracker.busy(now) + far + jitter) / item.slots
 
 
 def _find_home(
     asked: work.Work, usable: list[instances.Instance]
 ) -> instances.Instance | None:
     shared = asked.parts[:-1]
-    if not shared:
+    if not shared or not usable:
         return None
     largest = max(shared, key=lambda part: part.tokens)
     return max(usable, key=lambda item: _score(item.name, largest.name))
--- a/src/cairnloom/routing/work.py
+++ b/src/cairnloom/routing/work.py
@@ -41,14 +41,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class Whole:
-    """Run the request from start to end."""
+    """Run the request from start to end.
+
+    ``neighbour`` is an address to fetch cached parts of the prompt from.
+    """
+
+    neighbour: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
 class Prefill:
     """Only read the prompt, and keep its cache for another engine.
 
-    ``neighbour`` is an address to fetch cached parts from.
+    ``neighbour`` is as for :class:`Whole`.
     """
 
     neighbour: str = ''
