Let peers stand in for the store where it turns one host away

Cause of usage off by 96 of 124 requests: hosts that the store refused could not write their parts before the window was sealed; and after a restart of all hosts one wrote its clock before it knew the store's, so that windows were numbered 12,600 too low.

--- a/src/cairnloom/entry/knowledge.py
+++ b/src/cairnloom/entry/knowledge.py
@@ -29,15 +29,16 @@
 class Update:
     """Rows of one source that changed, decoded.
 
-    ``table`` is set where the configuration is among them; ``whole`` tells
-    that instances which are not named are missing.
+    ``table`` is set where the configuration is among them, ``document`` is
+    its encoding; ``whole`` tells that instances which are not named are
+    missing.
     """
 
     version: int
     table: routes.RoutingTable | None = None
+    document: bytes = b''
     changes: tuple[instances.Change, ...] = ()
     whole: bool = False
-    store_seconds: float = 0.0
 
 
 class Source(Protocol):
@@ -57,6 +58,7 @@
 
     def __init__(self) -> None:
         self.table: routes.RoutingTable | None = None
+        self.document = b''
         self.directory = instances.Directory()
         self.reachable: dict[str, bool] = {}
         self.when_gone: Callable[[instances.Instance], None] = lambda _: None
@@ -71,12 +73,20 @@
         """Tell whether requests can be served."""
         return self.table is not None and self.directory.loaded
 
-    def take(self, update: Update, now: float) -> None:
-        """Take what a source or a peer told."""
+    def is_fresh(self) -> bool:
+        """Tell whether the store answers this host."""
+        return bool(self.reachable) and all(self.reachable.values())
+
+    def take(self, update: Update, now: float, trusted: bool = False) -> None:
+        """Take what a source or a peer told.
+
+        What is missing from a ``trusted`` update is gone, also while the
+        store does not answer this host.
+        """
         if update.table is not None:
-            self._configure(update.table)
+            self._configure(update.table, update.document)
         if update.whole:
-            self.directory.replace(list(update.changes), now)
+            self.directory.replace(list(update.changes), now, trusted)
             return
         for change in update.changes:
             if self.directory.apply(change, now):
@@ -96,11 +106,12 @@
             logs.note('endpoint_gone', name=instance.name)
             self.when_gone(instance)
 
-    def _configure(self, table: routes.RoutingTable) -> None:
+    def _configure(self, table: routes.RoutingTable, document: bytes) -> None:
         old = self.table
         if old is not None and table.version <= old.version:
             return
         self.table = table
+        self.document = document
         logs.note(
             'configuration',
             version=table.version,
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -17,6 +17,7 @@
 from ..coordination import leases
 from ..coordination import usage
 from ..protocol import client
+from ..protocol import server
 from ..routing import placing
 from ..routing import trackers
 from ..runtime import leadership
@@ -30,6 +31,7 @@
 from . import knowledge
 from . import listener
 from . import members
+from . import peers
 from . import reporting
 from . import settings
 from . import state
@@ -41,10 +43,14 @@
 LEASE_MARGIN_SECONDS = 1.0
 # No duty is begun with less of the lease left: a call may take as long.
 CALL_MARGIN_SECONDS = 1.3
-MEMBERS_SECONDS = 4.0
+MEMBERS_SECONDS = 5.0
 DUTIES_SECONDS = 0.5
-# A part of usage is written this often while its window is open.
-FLUSH_SECONDS = 2.5
+# How often a rival looks at the lease.
+LEASE_POLL_SECONDS = 2.0
+# A part of usage is written this often while its window is open, so that a
+# host that is killed loses little of it; each write is paid for.
+FLUSH_SECONDS = 1.5
+TIDY_SECONDS = 0.25
 # The balancer takes a host out after two probes, a second apart.
 LEAVING_SECONDS = 2.5
 # Kept for the last answers' way out before the platform ends the process.
@@ -66,6 +72,7 @@
     intake: Any
     store: Any
     sources: tuple[knowledge.Source, ...]
+    decode_document: Callable[[bytes], knowledge.Update]
     read_idle: Callable[[Any], float | None]
 
 
@@ -99,6 +106,14 @@
         )
         self._host.clock_offset = time.time() - reactor.seconds()
         self._runner = runner.Runner(parts.store, reactor)
+        self._peers = peers.Peers(
+            self._http,
+            chosen.internal.host,
+            chosen.internal.port,
+            chosen.seeds,
+        )
+        relayed: Any = peers.RelayedTable(parts.store, self._peers)
+        self._relayed = runner.Runner(relayed, reactor)
         self._members = members.Members(
             chosen.host, chosen.internal.host, chosen.internal.port
         )
@@ -109,7 +124,7 @@
                     holder=self._owner,
                     term=chosen.bounds.lease + LEASE_EXTRA_SECONDS,
                     margin=LEASE_MARGIN_SECONDS,
-                    poll=1.5,
+                    poll=LEASE_POLL_SECONDS,
                 )
             ),
             self._runner,
@@ -135,7 +150,10 @@
             programs.Loop(reactor, MEMBERS_SECONDS, self._meet),
             programs.Loop(reactor, FLUSH_SECONDS, self._flush),
             programs.Loop(reactor, DUTIES_SECONDS, self._do_duties),
-            programs.Loop(reactor, 0.25, self._tidy),
+            programs.Loop(reactor, TIDY_SECONDS, self._tidy),
+            programs.Loop(
+                reactor, knowledge.PEER_PERIOD_SECONDS, self._ask_peers
+            ),
         ]
         self._ports: list[Any] = []
 
@@ -144,6 +162,14 @@
         chosen = self._settings
         self._listen(chosen.callers, self._listener)
         self._listen(chosen.health, _HealthListener(self._is_ready))
+        self._ports.append(
+            server.listen(
+                self._reactor,
+                chosen.internal.host,
+                chosen.internal.port,
+                peers.handlers(self._host.knowledge, self._parts.store),
+            )
+        )
         self._host.knowledge.when_gone = self._forget
         for source in self._parts.sources:
             knowledge.start(
@@ -193,18 +219,23 @@
         self._host.upstream.expire()
 
     async def _meet(self) -> None:
-        now = self._host.now()
-        ahead = self._parts.store.ahead
-        others = await self._runner.drive(
-            [members.read_all()], lambda event: self._take_members(event)
-        )
-        del others
-        own = time.time() - now - (ahead or 0.0)
+        host, store = self._host, self._parts.store
+        await self._runner.drive([members.read_all()], self._take_members)
+        now = host.now()
+        if store.ahead is None:
+            return
+        own = time.time() - (now + store.ahead)
         await self._runner.drive([self._members.write(own)], lambda _: [])
-        self._host.hosts = max(1, len(self._members.live(now)))
-        if ahead is not None:
-            agreed = self._members.clock_ahead(now, own)
-            self._host.clock_offset = agreed + ahead
+        live = self._members.live(now)
+        host.hosts = max(1, len(live))
+        agreed = self._members.clock_ahead(now, own)
+        host.clock_offset = agreed + store.ahead
+        self._peers.meet([(row.address, row.port) for row in live.values()])
+
+    async def _ask_peers(self) -> None:
+        host = self._host
+        decode = self._parts.decode_document
+        await peers.learn(host.knowledge, self._peers, decode, host.now())
 
     def _take_members(self, event: Any) -> list[Any]:
         found = getattr(event, 'rows', None)
@@ -214,7 +245,7 @@
 
     async def _flush(self) -> None:
         book = self._host.book
-        await self._runner.drive(book.flush(), book.step)
+        await self._relayed.drive(book.flush(), book.step)
 
     async def _do_duties(self) -> None:
         await self._leadership.keep()
--- a/src/cairnloom/entry/reporting.py
+++ b/src/cairnloom/entry/reporting.py
@@ -13,8 +13,9 @@
 from ..runtime import logs
 from ..runtime import runner
 
-# Parts are written at the end of a window, by hosts whose clocks differ.
-SETTLE_SECONDS = 2.5
+# Parts are written within the flush period after a window's end, by hosts
+# whose clocks differ, some of them through a peer.
+SETTLE_SECONDS = 4.0
 # Windows before this many are overdue for good.
 WINDOWS_BACK = 3
 
--- a/src/cairnloom/entry/upstream.py
+++ b/src/cairnloom/entry/upstream.py
@@ -6,7 +6,6 @@
 
 import collections
 import dataclasses
-import socket
 from typing import Any
 from typing import Callable
 
@@ -21,13 +20,11 @@
 from zope.interface import implementer
 
 from .. import exceptions
+from ..protocol import sockets
 from ..routing import instances
-from ..runtime import logs
 
 # An endpoint that is there answers within a few milliseconds.
 CONNECT_SECONDS = 0.5
-# Sent bytes that stay unacknowledged this long mean a dead connection.
-UNACKNOWLEDGED_MILLISECONDS = 1500
 # How long a connection is kept where its endpoint names no time.
 KEPT_SECONDS = 4.0
 # The part of the endpoint's own time for which a connection is used again:
@@ -65,7 +62,7 @@
 
     def connectionMade(self) -> None:
         super().connectionMade()
-        _set_user_timeout(self.transport)
+        sockets.watch(self.transport)
         self._when_made(self)
 
     def send(self, request: Any) -> defer.Deferred[Any]:
@@ -94,20 +91,6 @@
             self.transport.abortConnection()
 
 
-def _set_user_timeout(transport: Any) -> None:
-    handle = getattr(transport, 'socket', None)
-    if handle is None:
-        return
-    try:
-        handle.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            UNACKNOWLEDGED_MILLISECONDS,
-        )
-    except OSError as fault:
-        logs.note('user_timeout_not_set', reason=str(fault))
-
-
 @implementer(iweb.IBodyProducer)
 class _Body:
     """Write a body that is held in memory."""
--- a/src/cairnloom/platform/program.py
+++ b/src/cairnloom/platform/program.py
@@ -27,15 +27,14 @@
 
     def connect(http: client.HttpClient) -> program.Parts:
         calls = store.Store(http, chosen.store, clock.read_steady)
+        operators = sources.ConfigurationSource(calls)
         return program.Parts(
             dialect=_dialect(),
             engines=engines.Engines(http, chosen.host),
             intake=intake.Intake(http, chosen.intake, chosen.host),
             store=calls,
-            sources=(
-                sources.ConfigurationSource(calls),
-                sources.DirectorySource(calls),
-            ),
+            sources=(operators, sources.DirectorySource(calls)),
+            decode_document=operators.decode,
             read_idle=requests.read_idle,
         )
 
--- a/src/cairnloom/platform/sources.py
+++ b/src/cairnloom/platform/sources.py
@@ -1,5 +1,7 @@
 """The rows that the platform's operator and endpoints write, as sources."""
 
+import dataclasses
+
 from .. import exceptions
 from ..entry import knowledge
 from ..routing import instances
@@ -17,7 +19,6 @@
 
     def __init__(self, calls: store.Store) -> None:
         self._store = calls
-        self.data: bytes = b''
 
     async def read(self) -> knowledge.Update:
         """Read the row."""
@@ -37,17 +38,16 @@
         except exceptions.ProtocolError as fault:
             logs.note('configuration_unreadable', reason=str(fault))
             return knowledge.Update(0)
-        self.data = data
-        return knowledge.Update(0, table=table)
+        return knowledge.Update(0, table=table, document=data)
 
     def _decode(self, listing: store.Listing) -> knowledge.Update:
-        table = None
+        update = knowledge.Update(listing.version)
         for row in listing.rows:
             if row.key == configuration.KEY and row.data is not None:
-                table = self.decode(row.data).table
-        return knowledge.Update(
-            listing.version, table=table, store_seconds=listing.store_seconds
-        )
+                update = dataclasses.replace(
+                    self.decode(row.data), version=listing.version
+                )
+        return update
 
 
 class DirectorySource:
@@ -88,5 +88,4 @@
             listing.version,
             changes=tuple(changes),
             whole=whole,
-            store_seconds=listing.store_seconds,
         )
--- a/src/cairnloom/protocol/client.py
+++ b/src/cairnloom/protocol/client.py
@@ -13,6 +13,7 @@
 from twisted.internet import error
 from twisted.internet import protocol
 from twisted.python import failure
+from twisted.web import _newclient
 from twisted.web import client
 from twisted.web import http_headers
 from twisted.web import iweb
@@ -21,6 +22,7 @@
 from .. import exceptions
 
 from . import names
+from . import sockets
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 IDLE_CONNECTION_SECONDS = 20.0
@@ -150,6 +152,21 @@
         return await collector.done
 
 
+class _WatchedProtocol(_newclient.HTTP11ClientProtocol):
+    """A connection whose peer is probed while it is silent."""
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        sockets.watch(self.transport)
+
+
+class _WatchedFactory(client._HTTP11ClientFactory):
+    """Build connections that notice a peer which has gone silent."""
+
+    def buildProtocol(self, addr: Any) -> _newclient.HTTP11ClientProtocol:
+        return _WatchedProtocol(self._quiescentCallback)
+
+
 class HttpClient:
     """Send requests to other processes over kept or fresh connections."""
 
@@ -159,6 +176,7 @@
         self._reactor = reactor
         names.install(reactor)
         self._pool = client.HTTPConnectionPool(reactor, persistent=True)
+        self._pool._factory = _WatchedFactory
         self._pool.retryAutomatically = False
         self._pool.maxPersistentPerHost = CONNECTIONS_PER_ADDRESS
         self._pool.cachedConnectionTimeout = int(IDLE_CONNECTION_SECONDS)
--- a/src/cairnloom/routing/instances.py
+++ b/src/cairnloom/routing/instances.py
@@ -92,13 +92,22 @@
         self._entries[change.name] = _Entry(change.instance, change.version)
         return known is None or known.instance != change.instance
 
-    def replace(self, changes: list[Change], now: float) -> None:
-        """Take a whole listing; what it lacks has gone missing."""
+    def replace(
+        self, changes: list[Change], now: float, trusted: bool = False
+    ) -> None:
+        """Take a whole listing; what it lacks has gone missing.
+
+        From a ``trusted`` listing it has gone for good.
+        """
         for change in changes:
             self.apply(change, now)
         present = {change.name for change in changes}
         for name in list(self._entries):
-            if name not in present:
+            if name in present:
+                continue
+            if trusted:
+                del self._entries[name]
+            else:
                 self._miss(name, now)
         self.loaded = True
 
--- a/src/cairnloom/runtime/programs.py
+++ b/src/cairnloom/runtime/programs.py
@@ -34,7 +34,10 @@
 
 
 class Daemon(Protocol):
-    """What a program builds from its settings."""
+    """What a program builds from its settings.
+
+    One with a ``reload`` is told when its settings file has changed.
+    """
 
     async def start(self) -> None:
         """Open listeners and begin all tasks."""
@@ -102,7 +105,11 @@
         status.append(1)
         reactor.stop()
 
+    def reload_soon(signum: int, _: Any) -> None:
+        reactor.callFromThread(getattr(daemon, 'reload', _ignore_reload))
+
     reactor.callWhenRunning(begin)
+    signal.signal(signal.SIGHUP, reload_soon)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, stop_soon)
     reactor.run(installSignalHandlers=False)
@@ -110,6 +117,10 @@
     sys.exit(status[0] if status else 0)
 
 
+def _ignore_reload() -> None:
+    logs.note('reload_ignored', reason='settings are read at start')
+
+
 def request_stop() -> None:
     """Begin the graceful end of this process, as SIGTERM does."""
     signal.raise_signal(signal.SIGTERM)
