--- a/src/cairnloom/planning/supply.py
+++ b/src/cairnloom/planning/supply.py
@@ -74,20 +74,38 @@
         ready = [item for item in there if item.state == 'ready']
         cheap = sum(item.cheap for item in ready)
         plain = len(ready) - cheap
-        orders = []
-        keep = plain
-        if cheap >= min(plain, scaling.most - plain) and cheap > 0:
-            keep = 0
-        elif plain >= scaling.most:
-            keep = scaling.most - 1
-        keep = max(keep, scaling.least - cheap)
-        if keep < plain:
-            orders.append(CountOrder(self._service, domain, keep, False))
+        keep = self._find_plain(scaling, domain, there, now)
+        if keep > plain or (keep < plain and cheap > 0):
+            order = CountOrder(self._service, domain, keep, False)
+            orders = [order]
+        else:
+            orders = []
         room = scaling.most - max(plain, keep)
         if room > 0 and now >= self._refused.get(domain, float('-inf')):
             if cheap != room:
                 orders.append(CountOrder(self._service, domain, room, True))
-        return [order for order in orders if self._is_due(order, scaling, now)]
+        return [
+            order for order in orders if self._is_due(order, scaling, now)
+        ]
+
+    def _find_plain(
+        self,
+        scaling: routes.Scaling,
+        domain: str,
+        there: list[instances.Instance],
+        now: float,
+    ) -> int:
+        cheap = [item for item in there if item.cheap]
+        staying = sum(item.state == 'ready' for item in cheap)
+        if staying:
+            return max(0, scaling.least - staying)
+        reclaimed = len(cheap) > 0
+        refused = domain in self._refused
+        if reclaimed or refused:
+            # One place is left to ask for cheap ones again.
+            return max(scaling.least, scaling.most - 1)
+        plain = sum(item.state == 'ready' for item in there)
+        return min(plain, scaling.most - 1)
 
     def _is_due(
         self, order: CountOrder, scaling: routes.Scaling, now: float
--- a/src/cairnloom/routing/placing.py
+++ b/src/cairnloom/routing/placing.py
@@ -30,8 +30,11 @@
 HANDOVER_SECONDS = 0.03
 # What another failure domain adds to the load of an endpoint, in requests.
 FAR_PENALTY = 0.5
-# What cached parts take from the load of an endpoint, in requests.
-HOME_BONUS = 0.5
+# What cached parts take from the load of an answering engine, in requests. A
+# step grows little with the requests that it serves.
+HOME_BONUS = 6.0
+# What a way between failure domains adds to it: a cache moves at half speed.
+HANDOVER_FAR_PENALTY = 2.0
 # What reading a prompt away from its home adds, in seconds: the transfer is
 # paid for.
 AWAY_SECONDS = 0.03
@@ -73,9 +76,7 @@
         usable = self._usable(ready, now)
         if not usable:
             return None
-        return min(
-            usable, key=lambda item: self._pressure(item, self._domain, now)
-        )
+        return min(usable, key=lambda item: self._pressure(item, now))
 
     def choose_answering(
         self,
@@ -91,8 +92,11 @@
         home = _find_home(asked, usable)
 
         def rank(item: instances.Instance) -> float:
-            bonus = HOME_BONUS / item.slots if item is home else 0.0
-            return self._pressure(item, domain, now) - bonus
+            far = 0.0 if item.failure_domain == domain else 1.0
+            extra = HANDOVER_FAR_PENALTY * far
+            if item is home:
+                extra -= HOME_BONUS
+            return self._trackers.of(item).busy(now) + extra
 
         return min(usable, key=rank)
 
@@ -181,10 +185,8 @@
         ]
         return good or ready
 
-    def _pressure(
-        self, item: instances.Instance, domain: str, now: float
-    ) -> float:
-        far = 0.0 if item.failure_domain == domain else FAR_PENALTY
+    def _pressure(self, item: instances.Instance, now: float) -> float:
+        far = 0.0 if item.failure_domain == self._domain else FAR_PENALTY
         tracker = self._trackers.of(item)
         jitter = _score(item.name, '%f' % now) * 0.1
         return (tracker.busy(now) + far + jitter) / item.slots
