Let hosts tell each other what they have under way at endpoints

Cause: each host saw a seventh of the traffic, expected 0.11 s for a prompt that took 0.59 s, and chose the same engines as the others. Left: the first seconds, in which a part is taken to be cached at its home though nobody has read it.

--- a/src/cairnloom/entry/forwarding.py
+++ b/src/cairnloom/entry/forwarding.py
@@ -93,6 +93,7 @@
         self._maybe_ran = False
         self._handle: tuple[instances.Instance, str] | None = None
         self._pending: tuple[trackers.Tracker, int] | None = None
+        self._at: instances.Instance | None = None
         self._last_event = asked.last_event
         self._counted = False
         self._running: defer.Deferred[None] | None = None
@@ -250,11 +251,21 @@
             self._note_attempt(instance, 'prefill', str(fault))
             return None
         tracker.note_success()
-        tracker.note_parts(asked.parts, self._service.engine.memory_tokens)
+        tracker.room = self._service.engine.memory_tokens
+        tracker.note_parts(asked.parts)
+        host.exchange.note_parts(instance.name, asked.parts)
         seconds = host.now() - began
         if alone:
             host.placer.note_rate(choice.new_tokens, seconds)
         host.metrics.time('prefill', seconds)
+        logs.note(
+            'prompt_read',
+            request=self._asked.request_id,
+            endpoint=instance.name,
+            expected=round(choice.seconds, 3),
+            seconds=round(seconds, 3),
+            new_tokens=choice.new_tokens,
+        )
         self._handle = (instance, handle.handle)
         return work.Decode(instance.place, handle.handle)
 
@@ -266,6 +277,7 @@
             return _Answered()
         tracker = self._host.trackers.of(instance)
         tracker.running += 1
+        self._at = instance
         self._arrivals += 1
         try:
             if self._route.kind == 'stream':
@@ -450,11 +462,21 @@
             self._last_event = event.number
         if not self._caller.begun:
             self._settle_pending()
+            self._note_cached()
             self._count_run(self._host.now())
             self.begin(head)
         self._caller.write(event.data)
         return ''
 
+    def _note_cached(self) -> None:
+        asked, engine, at = self._asked.work, self._service.engine, self._at
+        if asked is None or engine is None or at is None:
+            return
+        tracker = self._host.trackers.of(at)
+        tracker.room = engine.memory_tokens
+        tracker.note_parts(asked.parts)
+        self._host.exchange.note_parts(at.name, asked.parts)
+
     def hold_up(self, exchange: upstream.Exchange) -> None:
         """Let a slow caller hold up the endpoint."""
         self._caller.hold_up(exchange.pause, exchange.resume)
--- a/src/cairnloom/entry/peers.py
+++ b/src/cairnloom/entry/peers.py
@@ -9,15 +9,18 @@
 import dataclasses
 import random
 from typing import Any
+from typing import Callable
 from typing import Protocol
 
 import expression
+from twisted.internet import defer
 
 from .. import exceptions
 from ..coordination import rows
 from ..protocol import client
 from ..protocol import codec
 from ..protocol import server
+from ..routing import exchange
 from ..routing import instances
 from ..runtime import logs
 
@@ -64,7 +67,9 @@
 
 
 def handlers(
-    known: knowledge.Knowledge, table: Table
+    known: knowledge.Knowledge,
+    table: Table,
+    take_load: Callable[[exchange.LoadMessage], None],
 ) -> dict[str, server.Handler]:
     """Return what a host answers to its peers."""
 
@@ -95,7 +100,16 @@
             case rows.Conflict() as conflict:
                 return server.Answer(codec.encode(Written(None, conflict)))
 
-    return {'/knowledge': tell, '/rows': read, '/transactions': commit}
+    async def hear(call: server.Call) -> server.Answer:
+        take_load(codec.decode(exchange.LoadMessage, call.body))
+        return server.Answer()
+
+    return {
+        '/knowledge': tell,
+        '/rows': read,
+        '/transactions': commit,
+        '/load': hear,
+    }
 
 
 class Peers:
@@ -109,6 +123,7 @@
         self._port = port
         self._known: list[str] = [self._base(seed) for seed in seeds]
         self._last = ''
+        self._telling: set[str] = set()
 
     def meet(self, addresses: list[tuple[str, int]]) -> None:
         """Take the addresses of the hosts that run."""
@@ -120,6 +135,21 @@
         if found:
             self._known = found
 
+    def tell(self, message: exchange.LoadMessage) -> None:
+        """Tell every peer of this host's load; what is lost is told anew."""
+        body = codec.encode(message)
+        for base in self._known:
+            if base in self._telling:
+                continue
+            self._telling.add(base)
+            sending = defer.Deferred.fromCoroutine(
+                self._http.exchange(
+                    'POST', base + '/load', body, TIMEOUT_SECONDS
+                )
+            )
+            sending.addErrback(lambda _: None)
+            sending.addBoth(lambda _, base=base: self._telling.discard(base))
+
     async def learn(self, version: int) -> Told:
         """Ask a peer what it knows beyond a version.
 
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -18,6 +18,7 @@
 from ..coordination import usage
 from ..protocol import client
 from ..protocol import server
+from ..routing import exchange
 from ..routing import placing
 from ..routing import trackers
 from ..runtime import leadership
@@ -101,6 +102,7 @@
             upstream=upstream.Upstream(reactor, parts.read_idle),
             trackers=known,
             placer=placing.Placer(known, chosen.failure_domain),
+            exchange=exchange.LoadExchange(chosen.host, known),
             book=usage.UsageBook(self._owner),
             metrics=metrics.Metrics(),
         )
@@ -167,7 +169,9 @@
                 self._reactor,
                 chosen.internal.host,
                 chosen.internal.port,
-                peers.handlers(self._host.knowledge, self._parts.store),
+                peers.handlers(
+                    self._host.knowledge, self._parts.store, self._take_load
+                ),
             )
         )
         self._host.knowledge.when_gone = self._forget
@@ -179,6 +183,7 @@
             )
         for loop in self._loops:
             loop.start()
+        self._tell_load()
         logs.note('started', host=chosen.host, owner=self._owner)
 
     async def stop(self) -> None:
@@ -232,6 +237,17 @@
         host.clock_offset = agreed + store.ahead
         self._peers.meet([(row.address, row.port) for row in live.values()])
 
+    def _tell_load(self) -> None:
+        host = self._host
+        host.reactor.callLater(exchange.period(host.hosts), self._tell_load)
+        message = host.exchange.message()
+        if message is not None:
+            self._peers.tell(message)
+
+    def _take_load(self, message: exchange.LoadMessage) -> None:
+        host = self._host
+        host.exchange.take(message, host.hosts, host.now())
+
     async def _ask_peers(self) -> None:
         host = self._host
         decode = self._parts.decode_document
--- a/src/cairnloom/entry/state.py
+++ b/src/cairnloom/entry/state.py
@@ -8,6 +8,7 @@
 
 from ..admission import budgets
 from ..coordination import usage
+from ..routing import exchange
 from ..routing import instances
 from ..routing import placing
 from ..routing import trackers
@@ -63,6 +64,7 @@
     upstream: upstream.Upstream
     trackers: trackers.Trackers
     placer: placing.Placer
+    exchange: exchange.LoadExchange
     book: usage.UsageBook
     metrics: metrics.Metrics
     hosts: int = 1
--- a/src/cairnloom/planning/supply.py
+++ b/src/cairnloom/planning/supply.py
@@ -84,9 +84,7 @@
         if room > 0 and now >= self._refused.get(domain, float('-inf')):
             if cheap != room:
                 orders.append(CountOrder(self._service, domain, room, True))
-        return [
-            order for order in orders if self._is_due(order, scaling, now)
-        ]
+        return [order for order in orders if self._is_due(order, scaling, now)]
 
     def _find_plain(
         self,
--- a/src/cairnloom/routing/placing.py
+++ b/src/cairnloom/routing/placing.py
@@ -19,10 +19,12 @@
 STARTING_RATE = 40000.0
 # An answering engine reads prompts between tokens, at this part of the rate.
 IN_PLACE_SPEED = 0.5
+# What an engine takes for any prompt, however short, in seconds.
+PROMPT_SECONDS = 0.055
 # Weight of one answer in the learned rate.
 RATE_STEP = 0.1
 # Shorter prompts say little about the rate.
-RATE_LEAST_TOKENS = 1000
+RATE_LEAST_TOKENS = 3000
 # The part of the longest pause between events that a prompt may take from the
 # answers beside which it is read.
 PAUSE_SHARE = 0.5
@@ -127,8 +129,9 @@
 
     def note_rate(self, tokens: int, seconds: float) -> None:
         """Learn from a prompt that was read while nothing else was."""
-        if tokens >= RATE_LEAST_TOKENS and seconds > 0:
-            self.rate += RATE_STEP * (tokens / seconds - self.rate)
+        reading = seconds - PROMPT_SECONDS
+        if tokens >= RATE_LEAST_TOKENS and reading > 0:
+            self.rate += RATE_STEP * (tokens / reading - self.rate)
 
     def _choose_reading(
         self,
@@ -163,12 +166,7 @@
         cached = max(shared, tracker.cached_tokens(asked.parts))
         new = max(0, asked.prompt_tokens - cached)
         rate = self.rate * speed
-        others = tracker.busy(now) - tracker.running
-        if speed < 1.0:
-            # What answers here is not a queue; only prompts are.
-            others = 0.0
-        wait = (tracker.pending_tokens + others * new) / rate
-        seconds = wait + new / rate
+        seconds = PROMPT_SECONDS + (tracker.queued_tokens(now) + new) / rate
         neighbour = elsewhere
         if item is not home and shared:
             seconds += AWAY_SECONDS
--- a/src/cairnloom/routing/trackers.py
+++ b/src/cairnloom/routing/trackers.py
@@ -16,11 +16,25 @@
 LONGEST_PAUSE_SECONDS = 4.0
 # What an answer told of an endpoint's load fades within this time.
 LOAD_FADES_SECONDS = 0.4
+# Tokens that an engine is taken to cache until its service is known.
+UNKNOWN_ROOM = 200000
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerLoad:
+    """What another host has under way, as it told; ``until`` is a time."""
+
+    running: int
+    pending_tokens: int
+    until: float
 
 
 @dataclasses.dataclass
 class Tracker:
-    """One instance; ``pending_tokens`` are prompt tokens sent, not read."""
+    """One instance; ``pending_tokens`` are prompt tokens sent, not read.
+
+    ``room`` bounds the tokens of parts that are taken to be cached.
+    """
 
     running: int = 0
     pending_tokens: int = 0
@@ -28,6 +42,8 @@
     avoid_until: float = float('-inf')
     others: float = 0.0
     others_at: float = 0.0
+    room: int = UNKNOWN_ROOM
+    peers: dict[str, PeerLoad] = dataclasses.field(default_factory=dict)
     parts: collections.OrderedDict[str, int] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
@@ -43,7 +59,19 @@
         """Estimate the requests at the endpoint, of all hosts."""
         age = now - self.others_at
         fade = max(0.0, 1.0 - age / LOAD_FADES_SECONDS)
-        return self.running + self.others * fade
+        told = sum(
+            load.running for load in self.peers.values() if now < load.until
+        )
+        return self.running + max(told, self.others * fade)
+
+    def queued_tokens(self, now: float) -> int:
+        """Estimate the prompt tokens that all hosts sent, not read yet."""
+        told = sum(
+            load.pending_tokens
+            for load in self.peers.values()
+            if now < load.until
+        )
+        return self.pending_tokens + told
 
     def note_failure(self, now: float) -> None:
         """Pass the endpoint over for a while."""
@@ -62,7 +90,7 @@
         """Tell whether the endpoint failed a moment ago."""
         return now < self.avoid_until
 
-    def note_parts(self, parts: tuple[work.Part, ...], room: int) -> None:
+    def note_parts(self, parts: tuple[work.Part, ...]) -> None:
         """Note that parts are cached there; the oldest yield."""
         for part in parts:
             if part.name in self.parts:
@@ -70,7 +98,7 @@
                 continue
             self.parts[part.name] = part.tokens
             self.part_tokens += part.tokens
-        while self.part_tokens > room and self.parts:
+        while self.part_tokens > self.room and self.parts:
             _, tokens = self.parts.popitem(last=False)
             self.part_tokens -= tokens
 
@@ -85,18 +113,44 @@
 
 
 class Trackers:
-    """The trackers of all instances."""
+    """The trackers of all instances, by name.
+
+    A restart under the same name begins with a new tracker.
+    """
 
     def __init__(self) -> None:
-        self._known: dict[tuple[str, int], Tracker] = {}
+        self._known: dict[str, Tracker] = {}
+        self._born: dict[str, int] = {}
 
     def of(self, instance: instances.Instance) -> Tracker:
         """Return an instance's tracker."""
-        tracker = self._known.get(instance.identity)
+        if self._born.get(instance.name) != instance.born:
+            if instance.name in self._born:
+                self._known.pop(instance.name, None)
+            self._born[instance.name] = instance.born
+        return self.named(instance.name)
+
+    def named(self, name: str) -> Tracker:
+        """Return the tracker of the instance with a name."""
+        tracker = self._known.get(name)
         if tracker is None:
-            tracker = self._known[instance.identity] = Tracker()
+            tracker = self._known[name] = Tracker()
         return tracker
 
+    def busy_ones(self) -> list[tuple[str, Tracker]]:
+        """Return the instances that this host has requests at."""
+        return [
+            (name, tracker)
+            for name, tracker in self._known.items()
+            if tracker.running or tracker.pending_tokens
+        ]
+
     def forget(self, instance: instances.Instance) -> None:
         """Drop the tracker of an instance that is gone."""
-        self._known.pop(instance.identity, None)
+        self._known.pop(instance.name, None)
+        self._born.pop(instance.name, None)
+
+    def forget_peer(self, host: str) -> None:
+        """Drop what a peer told before."""
+        for tracker in self._known.values():
+            tracker.peers.pop(host, None)
