--- a/src/cairnloom/entry/forwarding.py
+++ b/src/cairnloom/entry/forwarding.py
@@ -35,6 +35,9 @@
 MODEL_ROUNDS = 4
 # A cache that so many engines refused is taken as gone.
 HANDLE_REFUSALS = 2
+# The part of an engine's memory that is taken to hold cached parts; the rest
+# holds what is running.
+CACHE_SHARE = 0.8
 # Status of an endpoint's own failure.
 _FAILED = 500
 
@@ -222,6 +225,7 @@
         alone = tracker.running == 0
         tracker.pending_tokens += choice.new_tokens
         tracker.running += 1
+        self._note_cached(instance)
         began = host.now()
         body = bytearray()
         # A first call that only reads the prompt counts for nothing.
@@ -251,9 +255,6 @@
             self._note_attempt(instance, 'prefill', str(fault))
             return None
         tracker.note_success()
-        tracker.room = self._service.engine.memory_tokens
-        tracker.note_parts(asked.parts)
-        host.exchange.note_parts(instance.name, asked.parts)
         seconds = host.now() - began
         if alone:
             host.placer.note_rate(choice.new_tokens, seconds)
@@ -462,18 +463,19 @@
             self._last_event = event.number
         if not self._caller.begun:
             self._settle_pending()
-            self._note_cached()
+            if self._at is not None:
+                self._note_cached(self._at)
             self._count_run(self._host.now())
             self.begin(head)
         self._caller.write(event.data)
         return ''
 
-    def _note_cached(self) -> None:
-        asked, engine, at = self._asked.work, self._service.engine, self._at
-        if asked is None or engine is None or at is None:
+    def _note_cached(self, at: instances.Instance) -> None:
+        asked, engine = self._asked.work, self._service.engine
+        if asked is None or engine is None:
             return
         tracker = self._host.trackers.of(at)
-        tracker.room = engine.memory_tokens
+        tracker.room = int(engine.memory_tokens * CACHE_SHARE)
         tracker.note_parts(asked.parts)
         self._host.exchange.note_parts(at.name, asked.parts)
 
--- a/src/cairnloom/entry/peers.py
+++ b/src/cairnloom/entry/peers.py
@@ -142,13 +142,17 @@
             if base in self._telling:
                 continue
             self._telling.add(base)
-            sending = defer.Deferred.fromCoroutine(
-                self._http.exchange(
-                    'POST', base + '/load', body, TIMEOUT_SECONDS
-                )
+            defer.Deferred.fromCoroutine(self._tell_one(base, body))
+
+    async def _tell_one(self, base: str, body: bytes) -> None:
+        try:
+            await self._http.exchange(
+                'POST', base + '/load', body, TIMEOUT_SECONDS
             )
-            sending.addErrback(lambda _: None)
-            sending.addBoth(lambda _, base=base: self._telling.discard(base))
+        except exceptions.TransportError as fault:
+            logs.note('load_not_told', peer=base, reason=str(fault))
+        finally:
+            self._telling.discard(base)
 
     async def learn(self, version: int) -> Told:
         """Ask a peer what it knows beyond a version.
--- a/src/cairnloom/routing/placing.py
+++ b/src/cairnloom/routing/placing.py
@@ -37,8 +37,11 @@
 HOME_BONUS = 6.0
 # What a way between failure domains adds to it: a cache moves at half speed.
 HANDOVER_FAR_PENALTY = 2.0
-# What reading a prompt away from its home adds, in seconds: the transfer is
-# paid for.
+# What fetching cached parts adds, in seconds: the transfer is paid for, and
+# the copy takes memory from other parts.
+FETCH_SECONDS = 0.04
+# What a prompt that no engine has read costs more away from its home, in
+# seconds, so that hosts which see it at once have it read by the same engine.
 AWAY_SECONDS = 0.03
 
 
@@ -145,9 +148,13 @@
         if not usable:
             return None
         home = _find_home(asked, usable)
-        elsewhere = _find_home(asked, others)
+        cached = {
+            item.name: self._trackers.of(item).cached_tokens(asked.parts[:-1])
+            for item in [*usable, *others]
+        }
+        holder = max([*usable, *others], key=lambda item: cached[item.name])
         found = [
-            self._estimate(item, asked, home, elsewhere, speed, now)
+            self._estimate(item, asked, cached, home, holder, speed, now)
             for item in usable
         ]
         return min(found, key=lambda reading: reading.seconds)
@@ -156,21 +163,23 @@
         self,
         item: instances.Instance,
         asked: work.Work,
+        cached: dict[str, int],
         home: instances.Instance | None,
-        elsewhere: instances.Instance | None,
+        holder: instances.Instance,
         speed: float,
         now: float,
     ) -> Reading:
-        tracker = self._trackers.of(item)
-        shared = sum(part.tokens for part in asked.parts[:-1])
-        cached = max(shared, tracker.cached_tokens(asked.parts))
-        new = max(0, asked.prompt_tokens - cached)
-        rate = self.rate * speed
-        seconds = PROMPT_SECONDS + (tracker.queued_tokens(now) + new) / rate
-        neighbour = elsewhere
-        if item is not home and shared:
+        here, there = cached[item.name], cached[holder.name]
+        seconds = PROMPT_SECONDS
+        neighbour = None
+        if there > here:
+            neighbour = holder
+            seconds += FETCH_SECONDS
+        elif not here and home is not None and item is not home:
             seconds += AWAY_SECONDS
-            neighbour = home
+        new = max(0, asked.prompt_tokens - max(here, there))
+        queued = self._trackers.of(item).queued_tokens(now)
+        seconds += (queued + new) / (self.rate * speed)
         return Reading(item, seconds, new, neighbour)
 
     def _usable(
