--- a/src/cairnloom/entry/knowledge.py
+++ b/src/cairnloom/entry/knowledge.py
@@ -137,6 +137,7 @@
         self._when_read = when_read
         self._version: int | None = None
         self._pause = FIRST_PAUSE_SECONDS
+        self._failed = False
         knowledge.reachable[source.name] = False
 
     async def run(self) -> None:
@@ -170,8 +171,9 @@
         name = self._source.name
         before = self._knowledge.reachable[name]
         self._knowledge.reachable[name] = reachable
-        if not reachable or not before:
+        if not reachable or self._failed:
             self._knowledge.directory.note_outage(self._reactor.seconds())
+        self._failed = not reachable
         if reachable != before:
             logs.note(
                 'store_regained' if reachable else 'store_lost',
@@ -186,6 +188,9 @@
 def start(work: Any) -> defer.Deferred[None]:
     """Run a coroutine, and log what ends it."""
     running = defer.Deferred.fromCoroutine(work)
+    running.addErrback(
+        lambda reason: reason.trap(defer.CancelledError) and None
+    )
     running.addErrback(
         lambda reason: logs.note(
             'task_failed',
--- a/src/cairnloom/entry/listener.py
+++ b/src/cairnloom/entry/listener.py
@@ -67,7 +67,7 @@
         """Break off an answer, so that it can't be taken for a whole one."""
         if not self.gone and not self.ended:
             self.ended = True
-            self._request.channel.abort()
+            self._request.break_off()
 
     def answer(
         self,
@@ -139,6 +139,15 @@
         if self.caller is not None and not self.caller.ended:
             self.caller.when_gone()
 
+    def break_off(self) -> None:
+        """Close so that what was sent can't be taken for a whole answer."""
+        if self.chunked or self.responseHeaders.hasHeader(b'content-length'):
+            # What was sent still reaches the caller, who sees that its end
+            # is missing.
+            self.channel.loseConnection()
+        else:
+            self.channel.abort()
+
     def close_after(self) -> None:
         """Close the connection once this answer has been sent."""
         self.responseHeaders.setRawHeaders(b'connection', [b'close'])
@@ -308,3 +317,8 @@
         for channel in list(self.channels):
             if channel.is_idle():
                 channel.loseConnection()
+
+    def close_all(self) -> None:
+        """Close every connection at once."""
+        for channel in list(self.channels):
+            channel.abort()
--- a/src/cairnloom/entry/members.py
+++ b/src/cairnloom/entry/members.py
@@ -40,10 +40,10 @@
 class Members:
     """Decide what to write and whom to count; reads and writes by turns."""
 
-    def __init__(self, host: str, address: str, port: int) -> None:
+    def __init__(self, host: str, address: str, port: int = 0) -> None:
         self._host = host
         self._address = address
-        self._port = port
+        self.port = port
         self._known: dict[str, _Known] = {}
         self._beat = 0
 
@@ -67,7 +67,7 @@
         mine = self._known.get(self._host)
         key = PREFIX + self._host
         value = codec.encode_value(
-            HostRow(self._address, self._port, self._beat, clock_ahead)
+            HostRow(self._address, self.port, self._beat, clock_ahead)
         )
         version = mine.version if mine else rows.ABSENT
         write_id = '%s/h%d' % (self._host, self._beat)
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -52,6 +52,8 @@
 # host that is killed loses little of it; each write is paid for.
 FLUSH_SECONDS = 1.5
 TIDY_SECONDS = 0.25
+# Connections that wait to be accepted; beyond it they are dropped.
+CONNECTION_BACKLOG = 512
 # The balancer takes a host out after two probes, a second apart.
 LEAVING_SECONDS = 2.5
 # Kept for the last answers' way out before the platform ends the process.
@@ -116,9 +118,7 @@
         )
         relayed: Any = peers.RelayedTable(parts.store, self._peers)
         self._relayed = runner.Runner(relayed, reactor)
-        self._members = members.Members(
-            chosen.host, chosen.internal.host, chosen.internal.port
-        )
+        self._members = members.Members(chosen.host, chosen.internal.host)
         self._leadership = leadership.Leadership(
             leases.LeaseKeeper(
                 leases.LeaseSettings(
@@ -156,36 +156,51 @@
             programs.Loop(
                 reactor, knowledge.PEER_PERIOD_SECONDS, self._ask_peers
             ),
+            programs.Loop(reactor, exchange.PERIOD_SECONDS, self._tell_load),
         ]
-        self._ports: list[Any] = []
+        self._ports: dict[str, Any] = {}
+        self._tasks: list[defer.Deferred[None]] = []
 
     async def start(self) -> None:
         """Open listeners and begin all tasks."""
         chosen = self._settings
-        self._listen(chosen.callers, self._listener)
-        self._listen(chosen.health, _HealthListener(self._is_ready))
-        self._ports.append(
-            server.listen(
-                self._reactor,
-                chosen.internal.host,
-                chosen.internal.port,
-                peers.handlers(
-                    self._host.knowledge, self._parts.store, self._take_load
-                ),
-            )
+        self._listen('callers', chosen.callers, self._listener)
+        self._listen('health', chosen.health, _HealthListener(self._is_ready))
+        self._ports['internal'] = server.listen(
+            self._reactor,
+            chosen.internal.host,
+            chosen.internal.port,
+            peers.handlers(
+                self._host.knowledge, self._parts.store, self._take_load
+            ),
         )
+        self._members.port = self.address('internal')[1]
         self._host.knowledge.when_gone = self._forget
         for source in self._parts.sources:
-            knowledge.start(
-                knowledge.Follower(
-                    self._reactor, source, self._host.knowledge
-                ).run()
+            follower = knowledge.Follower(
+                self._reactor, source, self._host.knowledge
             )
+            self._tasks.append(knowledge.start(follower.run()))
         for loop in self._loops:
             loop.start()
-        self._tell_load()
         logs.note('started', host=chosen.host, owner=self._owner)
 
+    def address(self, listener: str) -> tuple[str, int]:
+        """Return where ``callers``, ``health`` or ``internal`` listens."""
+        found = self._ports[listener].getHost()
+        return found.host, found.port
+
+    def abandon(self) -> None:
+        """End at once, as a process does that is killed."""
+        for loop in self._loops:
+            loop.stop()
+        for running in self._tasks:
+            running.cancel()
+        for port in self._ports.values():
+            port.stopListening()
+        self._listener.close_all()
+        self._host.upstream.close()
+
     async def stop(self) -> None:
         """Leave: unready first, then no new connections, then the end."""
         host = self._host
@@ -193,7 +208,7 @@
         host.leaving = True
         self._listener.begin_closing()
         await self._sleep(LEAVING_SECONDS)
-        self._ports[0].stopListening()
+        self._ports['callers'].stopListening()
         self._listener.close_idle()
         end = began + self._settings.bounds.grace - END_SECONDS
         while self._front.under_way and host.now() < end:
@@ -205,11 +220,10 @@
         await self._leadership.release()
         host.upstream.close()
 
-    def _listen(self, at: settings.Address, factory: Any) -> None:
-        port = self._reactor.listenTCP(
-            at.port, factory, backlog=512, interface=at.host
+    def _listen(self, name: str, at: settings.Address, factory: Any) -> None:
+        self._ports[name] = self._reactor.listenTCP(
+            at.port, factory, backlog=CONNECTION_BACKLOG, interface=at.host
         )
-        self._ports.append(port)
 
     def _is_ready(self) -> bool:
         return self._host.knowledge.is_ready() and not self._host.leaving
@@ -237,10 +251,9 @@
         host.clock_offset = agreed + store.ahead
         self._peers.meet([(row.address, row.port) for row in live.values()])
 
-    def _tell_load(self) -> None:
+    async def _tell_load(self) -> None:
         host = self._host
-        host.reactor.callLater(exchange.period(host.hosts), self._tell_load)
-        message = host.exchange.message()
+        message = host.exchange.message(host.hosts, host.now())
         if message is not None:
             self._peers.tell(message)
 
--- a/src/cairnloom/entry/upstream.py
+++ b/src/cairnloom/entry/upstream.py
@@ -195,7 +195,7 @@
 
     def _is_whole(self, reason: failure.Failure) -> bool:
         if reason.check(client.ResponseDone):
-            return not self._connection.spoiled
+            return True
         # A body without a length ends with its connection.
         if reason.check(client.PotentialDataLoss):
             return self._connection.clean_end
--- a/src/cairnloom/platform/program.py
+++ b/src/cairnloom/platform/program.py
@@ -2,8 +2,10 @@
 
 import sys
 from typing import Any
+from typing import Callable
 
 from ..entry import program
+from ..entry import settings as host_settings
 from ..protocol import client
 from ..runtime import clock
 from ..runtime import programs
@@ -25,11 +27,23 @@
         sys.exit(programs.EXIT_BAD_SETTINGS)
     chosen = loaded.ok
 
+    programs.serve(
+        'cairnloom-entry',
+        lambda reactor: program.Program(reactor, chosen, connector(chosen)),
+    )
+
+
+def connector(
+    chosen: host_settings.HostSettings,
+) -> Callable[[client.HttpClient], program.Parts]:
+    """Return what connects a program to the platform."""
+    dialect: Any = requests
+
     def connect(http: client.HttpClient) -> program.Parts:
         calls = store.Store(http, chosen.store, clock.read_steady)
         operators = sources.ConfigurationSource(calls)
         return program.Parts(
-            dialect=_dialect(),
+            dialect=dialect,
             engines=engines.Engines(http, chosen.host),
             intake=intake.Intake(http, chosen.intake, chosen.host),
             store=calls,
@@ -38,11 +52,4 @@
             read_idle=requests.read_idle,
         )
 
-    programs.serve(
-        'cairnloom-entry',
-        lambda reactor: program.Program(reactor, chosen, connect),
-    )
-
-
-def _dialect() -> Any:
-    return requests
+    return connect
--- a/src/cairnloom/routing/exchange.py
+++ b/src/cairnloom/routing/exchange.py
@@ -55,6 +55,7 @@
         self._sequence = 0
         self._parts: list[PartsRead] = []
         self._was_idle = True
+        self._next_at = float('-inf')
         self._heard: dict[str, int] = {}
 
     def note_parts(self, endpoint: str, parts: tuple[work.Part, ...]) -> None:
@@ -62,8 +63,11 @@
         if len(self._parts) < PARTS_PER_MESSAGE:
             self._parts.append(PartsRead(endpoint, list(parts)))
 
-    def message(self) -> LoadMessage | None:
+    def message(self, hosts: int, now: float) -> LoadMessage | None:
         """Return what is to be told now, if anything."""
+        if now < self._next_at:
+            return None
+        self._next_at = now + period(hosts) - PERIOD_SECONDS / 2
         loads = [
             EndpointLoad(name, tracker.running, tracker.pending_tokens)
             for name, tracker in self._trackers.busy_ones()
--- /dev/null
+++ b/src/cairnloom/standins/atlas.py
@@ -0,0 +1,509 @@
+"""The Atlas platform's side of every protocol, for tests without it.
+
+A store, endpoints and the intake, as plain objects behind small HTTP servers.
+Each can be told to misbehave the way the platform's pages allow.
+"""
+
+import base64
+import collections
+import dataclasses
+from typing import Any
+from typing import Callable
+from urllib import parse
+
+import orjson
+from twisted.web import http
+
+from ..platform import names
+
+# What one caller's request is answered with, unless told otherwise.
+EVENTS = 5
+EVENT_SECONDS = 0.01
+FENCE_FAILED = 412
+GONE = 410
+
+
+@dataclasses.dataclass
+class Row:
+    """A row of the store; ``value`` is None where it was removed."""
+
+    table: str
+    key: str
+    value: bytes | None
+    version: int
+
+
+class Store:
+    """Rows with versions and a history of changes."""
+
+    def __init__(self, seconds: Callable[[], float]) -> None:
+        self.mode = 'up'
+        self.lost_writes = 0
+        self.calls = 0
+        self._seconds = seconds
+        self._rows: dict[tuple[str, str], Row] = {}
+        self._history: list[Row] = []
+        self._kept_from = 0
+        self._version = 0
+        self.when_changed: list[Callable[[], None]] = []
+
+    def put(self, table: str, key: str, value: bytes | None) -> None:
+        """Write a row as the operator or an endpoint does."""
+        self._version += 1
+        self._set(table, key, value)
+        self._tell()
+
+    def forget_history(self) -> None:
+        """Drop all changes that could be followed."""
+        self._kept_from = self._version
+        self._history.clear()
+        self._tell()
+
+    def read(self, table: str, key: str) -> bytes | None:
+        """Return the value of a row."""
+        row = self._rows.get((table, key))
+        return row.value if row else None
+
+    def keys(self, table: str) -> list[str]:
+        """Return the keys of a table."""
+        return sorted(key for name, key in self._rows if name == table)
+
+    def transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        """Apply a transaction, or none of it."""
+        for item in body['ExpectedRev']:
+            row = self._rows.get((item['Table'], item['Key']))
+            if (row.version if row else 0) != item['Ver']:
+                current = [row] if row else []
+                return FENCE_FAILED, self._body(current)
+        self._version += 1
+        for item in body['Put']:
+            value = base64.b64decode(item['Value'])
+            self._set(item['Table'], item['Key'], value)
+        self._tell()
+        return 200, self._body([])
+
+    def list_rows(self, query: dict[str, str]) -> dict[str, Any]:
+        """Return a range of a table's rows."""
+        found = [
+            row
+            for (table, key), row in sorted(self._rows.items())
+            if table == query['Table']
+            and key >= query.get('From', '')
+            and ('To' not in query or key < query['To'])
+        ]
+        limit = int(query.get('Limit', '500'))
+        body = self._body(found[:limit])
+        body['Truncated'] = len(found) > limit
+        return body
+
+    def changes(self, table: str, after: int) -> list[Row] | None:
+        """Return what changed after a version; None if it is forgotten."""
+        if after < self._kept_from:
+            return None
+        return [
+            row
+            for row in self._history
+            if row.table == table and row.version > after
+        ]
+
+    def body_of(self, found: list[Row]) -> dict[str, Any]:
+        """Return rows as the store writes them."""
+        return self._body(found)
+
+    def _set(self, table: str, key: str, value: bytes | None) -> None:
+        row = Row(table, key, value, self._version)
+        self._history.append(row)
+        if value is None:
+            self._rows.pop((table, key), None)
+        else:
+            self._rows[(table, key)] = row
+
+    def _body(self, found: list[Row]) -> dict[str, Any]:
+        return {
+            'Rows': [_write_row(row) for row in found],
+            'Ver': self._version,
+            'NowMs': int(self._seconds() * 1000),
+        }
+
+    def _tell(self) -> None:
+        waiting, self.when_changed = self.when_changed, []
+        for wake in waiting:
+            wake()
+
+
+def _write_row(row: Row) -> dict[str, Any]:
+    written: dict[str, Any] = {
+        'Table': row.table,
+        'part': '',
+        'Key': row.key,
+        'Ver': row.version,
+    }
+    if row.value is None:
+        written['Removed'] = True
+    else:
+        written['Value'] = base64.b64encode(row.value).decode()
+    return written
+
+
+@dataclasses.dataclass
+class Seen:
+    """A request as an endpoint got it; ``gone`` if its caller left."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    gone: bool = False
+
+    def header(self, name: bytes) -> str:
+        """Return a header, or an empty text."""
+        return self.headers.get(name.decode().lower(), '')
+
+
+@dataclasses.dataclass
+class Endpoint:
+    """One start of an endpoint; ``script`` tells how the next ones end.
+
+    Known words: ``shed``, ``fail``, ``lose``, ``extra``, ``cross``,
+    ``unsigned``, ``tear``, ``hang`` and ``cut``. Without one the request is
+    answered as it should be.
+    """
+
+    name: str
+    service: str
+    role: str = ''
+    domain: str = 'a'
+    script: collections.deque[str] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    seen: list[Seen] = dataclasses.field(default_factory=list)
+    handles: set[str] = dataclasses.field(default_factory=set)
+    freed: list[str] = dataclasses.field(default_factory=list)
+    orders: list[dict[str, Any]] = dataclasses.field(default_factory=list)
+    port: int = 0
+    read_seconds: float = 0.0
+
+    def row(self, state: str = 'ready') -> bytes:
+        """Return the row in which the endpoint registers itself."""
+        fields: dict[str, Any] = {
+            'Service': self.service,
+            'Address': '127.0.0.1:%d' % self.port,
+            'Zone': self.domain,
+            'Version': 'v1',
+            'Slots': 8,
+            'State': state,
+            'ColdRemainingMs': 0,
+            'Sequence': 1,
+        }
+        if self.role:
+            fields['Stage'] = self.role
+            fields['Models'] = [{'Name': 'm', 'Version': 1, 'Adapters': []}]
+        return orjson.dumps(fields)
+
+
+class Intake:
+    """What was reported and ordered."""
+
+    def __init__(self) -> None:
+        self.usage: list[dict[str, Any]] = []
+        self.counts: list[dict[str, Any]] = []
+        self.refuse_cheap = False
+
+
+class _Request(http.Request):
+    """A request to one of the stand-ins."""
+
+    channel: Any
+
+    def process(self) -> None:
+        self.channel.factory.answer(self)
+
+    def text(self) -> bytes:
+        """Return the body."""
+        content: Any = self.content
+        body: bytes = content.read()
+        return body
+
+    def query(self) -> dict[str, str]:
+        """Return the query of the target."""
+        target = self.uri.decode('latin-1')
+        return dict(parse.parse_qsl(parse.urlsplit(target).query))
+
+    def reply(
+        self,
+        status: int,
+        body: Any = None,
+        headers: dict[bytes, bytes] | None = None,
+    ) -> None:
+        """Answer with JSON, or with bytes as they are."""
+        if self._disconnected or self.finished:
+            return
+        data = body if isinstance(body, bytes) else orjson.dumps(body or {})
+        self.setResponseCode(status)
+        self.setHeader(b'content-length', b'%d' % len(data))
+        for name, value in (headers or {}).items():
+            self.setHeader(name, value)
+        self.write(data)
+        self.finish()
+
+    def reset(self) -> None:
+        """Close the connection at once."""
+        self.channel.transport.abortConnection()
+
+
+class _Server(http.HTTPFactory):
+    """Serve one stand-in."""
+
+    reactor: Any
+
+    def __init__(self, reactor: Any) -> None:
+        super().__init__(reactor=reactor)
+
+    def buildProtocol(self, addr: Any) -> Any:
+        channel: Any = http.HTTPChannel()
+        channel.requestFactory = _Request
+        channel.factory = self
+        channel.callLater = self.reactor.callLater
+        channel.timeOut = 60
+        return channel
+
+    def startFactory(self) -> None:
+        """Keep no access log."""
+
+    def stopFactory(self) -> None:
+        """There is no access log to close."""
+
+    def log(self, request: Any) -> None:
+        """Requests are not logged."""
+
+    def answer(self, request: _Request) -> None:
+        """Answer one request."""
+        raise NotImplementedError
+
+
+class StoreServer(_Server):
+    """The store behind HTTP."""
+
+    def __init__(self, reactor: Any, store: Store) -> None:
+        super().__init__(reactor)
+        self._store = store
+
+    def answer(self, request: _Request) -> None:
+        """Answer one call."""
+        store = self._store
+        store.calls += 1
+        match store.mode:
+            case 'busy':
+                request.reply(503)
+            case 'reset':
+                request.reset()
+            case 'silent':
+                pass
+            case _:
+                self._serve(request)
+
+    def _serve(self, request: _Request) -> None:
+        path = request.path.decode()
+        if path == '/v1/rows-tx':
+            status, body = self._store.transact(orjson.loads(request.text()))
+            if self._store.lost_writes:
+                self._store.lost_writes -= 1
+                request.reset()
+                return
+            request.reply(status, body)
+        elif path == '/v1/rows-get':
+            request.reply(200, self._store.list_rows(request.query()))
+        elif path == '/v1/rows-feed':
+            self._follow(request, self.reactor.seconds())
+        else:
+            request.reply(404)
+
+    def _follow(self, request: _Request, began: float) -> None:
+        query = request.query()
+        found = self._store.changes(query['Table'], int(query['after']))
+        waited = self.reactor.seconds() - began
+        if found is None:
+            request.reply(GONE)
+        elif found or waited * 1000 >= int(query['WaitMs']):
+            request.reply(200, self._store.body_of(found))
+        else:
+            self._store.when_changed.append(
+                lambda: self._follow(request, began)
+            )
+
+
+class EndpointServer(_Server):
+    """An endpoint behind HTTP."""
+
+    def __init__(
+        self, reactor: Any, endpoint: Endpoint, every: dict[str, Endpoint]
+    ) -> None:
+        super().__init__(reactor)
+        self._endpoint = endpoint
+        self._every = every
+
+    def answer(self, request: _Request) -> None:
+        """Answer a caller's request, an order or a question."""
+        path = request.path.decode()
+        if path == '/v1/report':
+            request.reply(200, self._report())
+        elif path == '/v1/order':
+            self._endpoint.orders.append(orjson.loads(request.text()))
+            request.reply(202)
+        elif path.startswith('/v1/kv-handle/'):
+            self._endpoint.freed.append(path.rsplit('/', 1)[1])
+            request.reply(200)
+        else:
+            self._run(request)
+
+    def _report(self) -> dict[str, Any]:
+        return {
+            'Stage': self._endpoint.role,
+            'Busy': False,
+            'Sequence': len(self._endpoint.orders),
+            'Waiting': 0,
+            'Running': 0,
+        }
+
+    def _run(self, request: _Request) -> None:
+        seen = Seen(
+            request.method.decode(),
+            request.uri.decode('latin-1'),
+            {
+                name.decode().lower(): values[0].decode('latin-1')
+                for name, values in request.requestHeaders.getAllRawHeaders()
+            },
+            request.text(),
+        )
+        self._endpoint.seen.append(seen)
+        request.notifyFinish().addErrback(
+            lambda _: setattr(seen, 'gone', True)
+        )
+        if seen.header(names.EXPECTED_INSTANCE) != self._endpoint.name:
+            request.reply(421, None, {names.INSTANCE: b'other'})
+            return
+        script = self._endpoint.script
+        word = script.popleft() if script else ''
+        if seen.header(names.ROLE) == 'prefill':
+            self.reactor.callLater(
+                self._endpoint.read_seconds, self._prefill, request, word
+            )
+        elif 'text/event-stream' in seen.header(b'Accept'):
+            self._stream(request, seen, word)
+        else:
+            self._serve(request, seen, word)
+
+    def _head(self, seen: Seen) -> dict[bytes, bytes]:
+        return {
+            names.REQUEST_ID: seen.header(names.REQUEST_ID).encode(),
+            names.SIGNATURE: self._endpoint.name.encode(),
+            names.KEEP_ALIVE: b'timeout=5',
+        }
+
+    def _serve(self, request: _Request, seen: Seen, word: str) -> None:
+        head = self._head(seen)
+        body = b'%s %s' % (self._endpoint.name.encode(), seen.body)
+        match word:
+            case 'shed':
+                request.reply(503, None, {names.NOT_RUN: b'1'})
+            case 'fail':
+                request.reply(500, b'failed', head)
+            case 'lose':
+                request.reset()
+            case 'hang':
+                pass
+            case 'unsigned':
+                del head[names.SIGNATURE]
+                request.reply(200, body, head)
+            case 'cross':
+                head[names.REQUEST_ID] = b'another'
+                request.reply(200, body, head)
+            case 'extra':
+                channel = request.channel
+                request.reply(200, body, head)
+                channel.transport.write(b'HTTP/1.1 200 OK\r\n\r\nstray')
+            case 'cut':
+                request.setHeader(b'content-length', b'%d' % len(body))
+                for name, value in head.items():
+                    request.setHeader(name, value)
+                request.write(body[:2])
+                request.channel.loseConnection()
+            case _:
+                request.reply(200, body, head)
+
+    def _prefill(self, request: _Request, word: str) -> None:
+        if word == 'shed':
+            request.reply(503, None, {names.NOT_RUN: b'1'})
+            return
+        if word == 'lose':
+            request.reset()
+            return
+        handle = 'h%d' % (len(self._endpoint.handles) + 1)
+        self._endpoint.handles.add(handle)
+        request.reply(200, {'Handle': handle, 'Tokens': 1, 'Version': 1})
+
+    def _stream(self, request: _Request, seen: Seen, word: str) -> None:
+        source = seen.header(names.CACHE_SOURCE)
+        if word == 'shed' or (source and not self._take_cache(source)):
+            request.reply(503, None, {names.NOT_RUN: b'1'})
+            return
+        if word == 'hang':
+            return
+        if word == 'lose':
+            request.reset()
+            return
+        for name, value in self._head(seen).items():
+            request.setHeader(name, value)
+        request.setHeader(b'content-type', b'text/event-stream')
+        last = seen.header(names.LAST_EVENT)
+        self._send_event(request, int(last or 0) + 1, word)
+
+    def _send_event(self, request: _Request, number: int, word: str) -> None:
+        if request._disconnected:
+            return
+        if number > EVENTS:
+            request.finish()
+            return
+        event = b'id: %d\ndata: %s\n\n' % (
+            number,
+            b'event-%d' % number,
+        )
+        if word == 'tear' and number == 3:
+            request.write(event[:8])
+            # Lets what was written leave before the connection is reset.
+            self.reactor.callLater(EVENT_SECONDS, request.reset)
+            return
+        request.write(event)
+        self.reactor.callLater(
+            EVENT_SECONDS, self._send_event, request, number + 1, word
+        )
+
+    def _take_cache(self, source: str) -> bool:
+        address, _, handle = source.rpartition('/')
+        holder = self._every.get(address)
+        if holder is None or handle not in holder.handles:
+            return False
+        holder.handles.discard(handle)
+        return True
+
+
+class IntakeServer(_Server):
+    """Usage reports and orders of counts, behind HTTP."""
+
+    def __init__(self, reactor: Any, intake: Intake) -> None:
+        super().__init__(reactor)
+        self._intake = intake
+
+    def answer(self, request: _Request) -> None:
+        """Take one call of the holder of a duty."""
+        body = orjson.loads(request.text())
+        fence = request.getHeader(names.FENCE.decode()) or '0'
+        body['fence'] = int(fence)
+        if request.path == b'/usage':
+            self._intake.usage.append(body)
+            request.reply(200)
+        elif body.get('Spot') and self._intake.refuse_cheap:
+            request.reply(409)
+        else:
+            self._intake.counts.append(body)
+            request.reply(200)
--- /dev/null
+++ b/tests/atlas_world.py
@@ -0,0 +1,279 @@
+"""A host of the system among stand-ins of the platform, in one process.
+
+The reactor runs in a thread of its own; tests speak to the host over sockets.
+"""
+
+import dataclasses
+import http.client
+import socket
+import threading
+import time
+
+from twisted.internet import threads
+
+import orjson
+
+from cairnloom.entry import program
+from cairnloom.entry import settings
+from cairnloom.platform import program as wiring
+from cairnloom.runtime import clock
+from cairnloom.standins import atlas
+
+reactor = clock.install()
+_THREAD = threading.Thread(
+    target=reactor.run, kwargs={'installSignalHandlers': False}, daemon=True
+)
+
+KEY = 'secret-key'
+HOST = 'service.example'
+
+
+def in_reactor(work, *arguments):
+    """Run a function in the reactor's thread and return its result."""
+    if not _THREAD.is_alive():
+        _THREAD.start()
+    return threads.blockingCallFromThread(reactor, work, *arguments)
+
+
+def await_in_reactor(work):
+    """Run a coroutine function in the reactor's thread."""
+    from twisted.internet import defer
+
+    return in_reactor(lambda: defer.Deferred.fromCoroutine(work()))
+
+
+def wait_for(condition, seconds=5.0):
+    """Wait until a condition holds; fail if it does not in time."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        found = condition()
+        if found:
+            return found
+        time.sleep(0.01)
+    raise AssertionError('did not come true within %s s' % seconds)
+
+
+def route(prefix, kind, service, **more):
+    """Return a route as the operator writes it."""
+    return {
+        'Name': prefix,
+        'Host': HOST,
+        'PathPrefix': prefix,
+        'Kind': kind,
+        'TimeoutMs': 2000,
+        'TargetLatencyMs': 200,
+        'Priority': 1,
+        'Service': service,
+        'MaxAttempts': 2,
+        'GapAimMs': 150,
+    } | more
+
+
+def configuration(version=1, **more):
+    """Return the operator's row."""
+    return {
+        'Version': version,
+        'Routes': [
+            route('/safe/', 'safe', 'desk'),
+            route('/once/', 'unsafe', 'desk', MaxAttempts=1),
+            route('/open/', 'safe', 'desk', Anonymous=True),
+            route('/chat/', 'streaming', 'model', MaxAttempts=1, Sticky=True),
+            route('/resume/', 'streaming', 'model', Resumable=True),
+        ],
+        'Services': [
+            {'Name': 'desk', 'HealthPath': '/healthz', 'MaxConnections': 50},
+            {
+                'Name': 'model',
+                'HealthPath': '/healthz',
+                'MaxConnections': 50,
+                'Engine': {
+                    'Slots': 8,
+                    'KvTokens': 100000,
+                    'TokenKvBytes': 1000,
+                    'LinkMbps': 100000.0,
+                    'HandleTtlS': 5.0,
+                    'RoleSwitchS': 0.5,
+                    'Models': [{'Name': 'm'}],
+                },
+            },
+        ],
+        'Limits': {
+            'MaxHeaderBytes': 4096,
+            'MaxBodyBytes': 65536,
+            'HeaderTimeoutMs': 700,
+            'IdleTimeoutMs': 3000,
+        },
+        'Tenants': [{'Name': 'team-1', 'ApiKeys': [KEY]}],
+    } | more
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a caller got; ``whole`` is false if it was cut off."""
+
+    status: int
+    headers: dict
+    body: bytes
+    whole: bool = True
+
+
+class World:
+    """Stand-ins, and the hosts that were started among them."""
+
+    def __init__(self, endpoints, start=True, **more):
+        self.store = atlas.Store(reactor.seconds)
+        self.intake = atlas.Intake()
+        self.endpoints = {item.name: item for item in endpoints}
+        self._by_place = {}
+        self._ports = []
+        self._ids = 0
+        self.programs = []
+        in_reactor(self._open, endpoints)
+        self.configure(configuration(**more))
+        if start:
+            self.start_host('host-1')
+
+    def _open(self, endpoints):
+        self._store_port = self._listen(atlas.StoreServer(reactor, self.store))
+        self._intake_port = self._listen(
+            atlas.IntakeServer(reactor, self.intake)
+        )
+        for item in endpoints:
+            self._open_endpoint(item)
+
+    def _open_endpoint(self, item):
+        server = atlas.EndpointServer(reactor, item, self._by_place)
+        item.port = self._listen(server)
+        self._by_place['127.0.0.1:%d' % item.port] = item
+        self.store.put('servers', item.name, item.row())
+
+    def _listen(self, server):
+        port = reactor.listenTCP(0, server, interface='127.0.0.1')
+        self._ports.append(port)
+        return port.getHost().port
+
+    def configure(self, fields):
+        """Write a configuration as the operator does."""
+        in_reactor(self.store.put, 'op', 'config', orjson.dumps(fields))
+
+    def start_host(self, name, seeds=(), ready=True, **bounds):
+        """Start a host and wait until it is ready."""
+        nowhere = settings.Address('127.0.0.1', 0)
+        chosen = settings.HostSettings(
+            host=name,
+            failure_domain='a',
+            domains=('a', 'b'),
+            callers=nowhere,
+            health=nowhere,
+            internal=nowhere,
+            seeds=tuple(seeds),
+            store=settings.Address('127.0.0.1', self._store_port),
+            intake=settings.Address('127.0.0.1', self._intake_port),
+            duties=('usage_report', 'autoscale'),
+            bounds=settings.Bounds(**bounds),
+        )
+        started = in_reactor(
+            program.Program, reactor, chosen, wiring.connector(chosen)
+        )
+        await_in_reactor(started.start)
+        self.programs.append(started)
+        if ready:
+            wait_for(lambda: self.probe(started) == 200)
+        return started
+
+    def probe(self, started):
+        """Return the status of a host's readiness."""
+        return self._get(started.address('health'), '/v1/readyz').status
+
+    def close(self):
+        """Stop everything."""
+        for started in self.programs:
+            in_reactor(started.abandon)
+        for port in self._ports:
+            in_reactor(port.stopListening)
+
+    def new_id(self):
+        """Return an id that no request had."""
+        self._ids += 1
+        return 'id-%d' % self._ids
+
+    def headers(self, **more):
+        """Return the headers of a caller's request."""
+        found = {
+            'Host': HOST,
+            'Attempt-Id': self.new_id(),
+            'Deadline-Ms': '2000',
+            'Authorization': 'Bearer ' + KEY,
+        }
+        for name, value in more.items():
+            found[name.replace('_', '-')] = value
+        return {name: value for name, value in found.items() if value}
+
+    def call(self, path, method='GET', body=b'', host=0, **more):
+        """Send a request on a connection of its own."""
+        address = self.programs[host].address('callers')
+        headers = self.headers(**more)
+        return self._exchange(address, method, path, body, headers)
+
+    def ask_model(self, path='/chat/x', parts='aa:100,bb:50', **more):
+        """Send a request for model work."""
+        tokens = sum(int(part.split(':')[1]) for part in parts.split(','))
+        return self.call(
+            path,
+            'POST',
+            b'prompt',
+            Accept='text/event-stream',
+            Model='m',
+            Token_Count='%d,20' % tokens,
+            Prompt_Prefix=parts,
+            **more,
+        )
+
+    def raw(self, data, host=0, seconds=3.0, close=False):
+        """Send bytes and return all that comes back."""
+        address = self.programs[host].address('callers')
+        with socket.create_connection(address) as connection:
+            connection.settimeout(seconds)
+            connection.sendall(data)
+            if close:
+                return b''
+            return read_all(connection)
+
+    def _get(self, address, path):
+        return self._exchange(address, 'GET', path, b'', {})
+
+    def _exchange(self, address, method, path, body, headers):
+        connection = http.client.HTTPConnection(*address, timeout=5)
+        try:
+            connection.request(method, path, body or None, headers)
+            response = connection.getresponse()
+            found = {
+                name.lower(): value for name, value in response.getheaders()
+            }
+            data, whole = read_body(response)
+            return Answer(response.status, found, data, whole)
+        finally:
+            connection.close()
+
+
+def read_body(response):
+    """Read what comes of a body, and tell whether it is whole."""
+    data = b''
+    try:
+        while part := response.read1():
+            data += part
+    except (http.client.HTTPException, ConnectionError):
+        return data, False
+    left = response.length
+    return data, not left
+
+
+def read_all(connection):
+    """Read until the peer closes or says nothing for the timeout."""
+    received = b''
+    try:
+        while part := connection.recv(65536):
+            received += part
+    except (TimeoutError, ConnectionError):
+        pass
+    return received
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,359 @@
+"""A host among stand-ins of the platform: what callers and endpoints see."""
+
+import socket
+import time
+
+import atlas_world
+import pytest
+
+from cairnloom.standins import atlas
+
+
+@pytest.fixture
+def world():
+    made = []
+
+    def make(*endpoints, **more):
+        made.append(atlas_world.World(endpoints, **more))
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.close()
+
+
+def desk(name='d1', script=(), **more):
+    found = atlas.Endpoint(name, 'desk', **more)
+    found.script.extend(script)
+    return found
+
+
+def engine(name, role, script=(), **more):
+    found = atlas.Endpoint(name, 'model', role=role, **more)
+    found.script.extend(script)
+    return found
+
+
+def whole_stream(start=1):
+    return b''.join(
+        b'id: %d\ndata: event-%d\n\n' % (number, number)
+        for number in range(start, atlas.EVENTS + 1)
+    )
+
+
+def test_plain_request_is_passed_on_unchanged(world):
+    one = desk()
+    system = world(one)
+    answer = system.call(
+        '/safe/x?a=1&b=%20',
+        'POST',
+        b'body',
+        Tenant='forged',
+        Request_Priority='0',
+        X_Own='kept',
+        Connection='X-Hop',
+        X_Hop='dropped',
+    )
+    assert (answer.status, answer.body) == (200, b'd1 body')
+    assert answer.headers['server-signature'] == 'd1'
+    seen = one.seen[0]
+    assert (seen.method, seen.target) == ('POST', '/safe/x?a=1&b=%20')
+    assert seen.headers['tenant'] == 'team-1'
+    assert seen.headers['x-own'] == 'kept'
+    assert seen.headers['expect-instance'] == 'd1'
+    assert int(seen.headers['deadline-ms']) <= 2000
+    for name in ('authorization', 'x-hop', 'request-priority'):
+        assert name not in seen.headers
+
+
+@pytest.mark.parametrize(
+    'path, more, status',
+    [
+        ('/none/', {}, 404),
+        ('/safe/', {'Host': 'other.example'}, 404),
+        ('/safe/', {'Authorization': ''}, 401),
+        ('/safe/', {'Authorization': 'Bearer wrong'}, 401),
+        ('/safe/', {'Authorization': 'Basic secret-key'}, 401),
+        ('/open/', {'Authorization': ''}, 200),
+    ],
+)
+def test_route_and_key_decide(world, path, more, status):
+    one = desk()
+    system = world(one)
+    assert system.call(path, **more).status == status
+    assert len(one.seen) == (status == 200)
+
+
+def test_host_without_configuration_says_not_run(world):
+    one = desk()
+    system = world(one, start=False)
+    system.store.mode = 'busy'
+    started = system.start_host('host-1', ready=False)
+    answer = system.call('/safe/')
+    assert answer.status == 503
+    assert float(answer.headers['retry-after']) > 0
+    assert system.probe(started) == 503
+    system.store.mode = 'up'
+    atlas_world.wait_for(lambda: system.probe(started) == 200)
+    assert system.call('/safe/').status == 200
+
+
+def test_withdrawn_key_stops_on_an_open_connection(world):
+    system = world(desk())
+    address = system.programs[0].address('callers')
+    text = (
+        'GET /safe/ HTTP/1.1\r\nHost: %s\r\nAttempt-Id: x\r\n'
+        'Authorization: Bearer %s\r\n\r\n'
+    ) % (atlas_world.HOST, atlas_world.KEY)
+    with socket.create_connection(address, timeout=3) as connection:
+        connection.sendall(text.encode())
+        assert b'200 OK' in connection.recv(65536)
+        system.configure(atlas_world.configuration(2, Tenants=[]))
+        teams = [{'Name': 'other', 'ApiKeys': ['k']}]
+        system.configure(atlas_world.configuration(3, Tenants=teams))
+        time.sleep(0.2)
+        connection.sendall(text.encode())
+        assert b'401' in connection.recv(65536)
+
+
+def test_older_configuration_is_not_taken(world):
+    system = world(desk(), version=5)
+    system.configure(atlas_world.configuration(4, Routes=[]))
+    time.sleep(0.2)
+    assert system.call('/safe/').status == 200
+
+
+@pytest.mark.parametrize('word', ['fail', 'lose', 'unsigned', 'cross', 'cut'])
+def test_safe_request_is_repeated_elsewhere(world, word):
+    one, two = desk('d1', [word]), desk('d2', [word])
+    one.script.append('')
+    system = world(one, two)
+    two.script.clear()
+    two.script.extend([''] * 3)
+    for _ in range(3):
+        answer = system.call('/safe/')
+        assert (answer.status, answer.whole) == (200, True)
+        assert answer.body in (b'd1 ', b'd2 ')
+
+
+@pytest.mark.parametrize(
+    'word, status', [('lose', 502), ('cut', 502), ('unsigned', 502)]
+)
+def test_request_that_may_have_run_is_not_repeated(world, word, status):
+    one = desk('d1', [word])
+    system = world(one)
+    answer = system.call('/once/', 'POST', b'x')
+    assert answer.status == status
+    assert 'server-signature' not in answer.headers
+    assert len(one.seen) == 1
+
+
+def test_failure_of_an_endpoint_is_passed_on(world):
+    one = desk('d1', ['fail'])
+    system = world(one)
+    answer = system.call('/once/', 'POST', b'x')
+    assert (answer.status, answer.body) == (500, b'failed')
+    assert answer.headers['server-signature'] == 'd1'
+
+
+def test_refused_request_runs_elsewhere(world):
+    one, two = desk('d1', ['shed']), desk('d2')
+    two.script.append('shed')
+    system = world(one, two)
+    assert system.call('/once/', 'POST', b'x').status in (200, 503)
+    ran = [item for item in (one, two) if len(item.seen)]
+    assert ran
+
+
+def test_stray_bytes_after_an_answer_reach_nobody(world):
+    one = desk('d1', ['extra'])
+    system = world(one)
+    for _ in range(4):
+        answer = system.call('/safe/')
+        assert (answer.status, answer.body) == (200, b'd1 ')
+
+
+def test_vanished_endpoint_gets_nothing(world):
+    one, two = desk('d1'), desk('d2')
+    system = world(one, two)
+    atlas_world.in_reactor(
+        system.store.put, 'servers', 'd1', one.row('draining')
+    )
+    time.sleep(0.2)
+    for _ in range(5):
+        assert system.call('/safe/').body == b'd2 '
+    assert not one.seen
+
+
+def test_malformed_rows_name_no_endpoint(world):
+    system = world(desk())
+    rows = [
+        b'',
+        b'\xff\xfe',
+        b'[]',
+        b'{}',
+        b'{"Service": 3, "Address": "a:1", "Zone": "a", "State": "ready"}',
+        b'{"Service": "desk", "Address": "x", "Zone": "a", "State": "ready"}',
+        b'{"Service":"desk","Address":"a:1","Zone":"a","State":"resting"}',
+    ]
+    for number, data in enumerate(rows):
+        atlas_world.in_reactor(
+            system.store.put, 'servers', 'bad-%d' % number, data
+        )
+    time.sleep(0.2)
+    for _ in range(3):
+        assert system.call('/safe/').status == 200
+
+
+def test_final_answer_comes_at_the_deadline(world):
+    system = world(desk('d1', ['hang']))
+    began = time.monotonic()
+    answer = system.call('/once/', 'POST', b'x', Deadline_Ms='400')
+    assert answer.status == 504
+    assert 0.3 < time.monotonic() - began < 0.6
+
+
+@pytest.mark.parametrize('tail', [b'', b'GET /safe/ HTTP/1.1\r\nX: '])
+def test_endpoint_is_told_when_the_caller_leaves(world, tail):
+    one = desk('d1', ['hang'])
+    system = world(one)
+    text = (
+        'GET /safe/ HTTP/1.1\r\nHost: %s\r\nAttempt-Id: x\r\n'
+        'Authorization: Bearer %s\r\n\r\n'
+    ) % (atlas_world.HOST, atlas_world.KEY)
+    padding = tail and tail + b'y' * 60000
+    address = system.programs[0].address('callers')
+    with socket.create_connection(address) as connection:
+        connection.sendall(text.encode() + padding)
+        atlas_world.wait_for(lambda: one.seen)
+    atlas_world.wait_for(lambda: one.seen[0].gone, 0.5)
+
+
+def test_prompt_is_read_apart_and_handed_over(world):
+    reader = engine('p1', 'prefill')
+    writer = engine('w1', 'decode')
+    system = world(reader, writer)
+    answer = system.ask_model(parts='aa:100000,bb:50000')
+    assert answer.body == whole_stream()
+    phases = [item.header(b'Serving-Stage') for item in reader.seen]
+    assert phases == ['prefill']
+    source = writer.seen[0].header(b'Kv-Source')
+    assert source == '127.0.0.1:%d/h1' % reader.port
+    assert not reader.handles
+
+
+def test_model_work_without_readers_runs_whole(world):
+    writer = engine('w1', 'decode')
+    system = world(writer)
+    assert system.ask_model().body == whole_stream()
+    assert not writer.seen[0].header(b'Kv-Source')
+
+
+@pytest.mark.parametrize('word', ['shed', 'lose'])
+def test_failed_reading_is_done_otherwise(world, word):
+    reader = engine('p1', 'prefill', [word])
+    writer = engine('w1', 'decode')
+    system = world(reader, writer)
+    answer = system.ask_model(parts='aa:100000,bb:50000')
+    assert answer.body == whole_stream()
+
+
+def test_cache_is_freed_when_the_caller_leaves(world):
+    reader = engine('p1', 'prefill')
+    writer = engine('w1', 'decode', ['hang'])
+    system = world(reader, writer)
+    answer = system.ask_model(parts='aa:100000,bb:50000', Deadline_Ms='300')
+    assert answer.status == 504
+    atlas_world.wait_for(lambda: reader.freed == ['h1'])
+
+
+def test_torn_stream_does_not_look_whole(world):
+    system = world(engine('w1', 'decode', ['tear']))
+    answer = system.ask_model()
+    assert not answer.whole
+    assert answer.body == whole_stream()[: len(answer.body)]
+    assert answer.body.endswith(b'\n\n')
+
+
+def test_torn_stream_is_resumed_elsewhere(world):
+    one = engine('w1', 'decode', ['tear'])
+    two = engine('w2', 'decode', ['tear'])
+    system = world(one, two)
+    first = system.ask_model('/resume/x')
+    begun = one if one.seen else two
+    # Only the first attempt is to be torn.
+    assert begun.seen
+    assert first.body[:10] == whole_stream()[:10]
+    one.script.clear()
+    two.script.clear()
+    begun.script.append('tear')
+    answer = system.ask_model('/resume/x')
+    assert answer.whole
+    assert answer.body == whole_stream()
+
+
+def test_usage_is_written_and_reported_once(world):
+    one = desk()
+    system = world(one, start=False)
+    system.start_host('host-1', usage_window=1.0)
+    for _ in range(5):
+        assert system.call('/safe/').status == 200
+
+    def reported():
+        return (
+            sum(
+                report['Counts'].get('team-1', 0)
+                for report in system.intake.usage
+            )
+            == 5
+        )
+
+    atlas_world.wait_for(reported, 12.0)
+    numbers = [report['WindowSeq'] for report in system.intake.usage]
+    assert len(numbers) == len(set(numbers))
+
+
+def test_host_that_the_store_refuses_learns_from_a_peer(world):
+    system = world(desk(), start=False)
+    first = system.start_host('host-1')
+    atlas_world.wait_for(
+        lambda: system.store.keys('cairnloom').count('hosts/host-1')
+    )
+    system.store.mode = 'busy'
+    second = system.start_host('host-2', ready=False)
+    assert system.probe(second) == 503
+    host, port = first.address('internal')
+    second._peers.meet([('127.0.0.2', port)])
+    second._peers._known = ['http://%s:%d' % (host, port)]
+    atlas_world.wait_for(lambda: system.probe(second) == 200)
+    assert system.call('/safe/', host=1).status == 200
+
+
+def test_history_that_is_lost_is_read_anew(world):
+    one, two = desk('d1'), desk('d2')
+    system = world(one, two)
+    atlas_world.in_reactor(system.store.forget_history)
+    atlas_world.in_reactor(system.store.put, 'servers', 'd1', None)
+    time.sleep(0.6)
+    for _ in range(4):
+        assert system.call('/safe/').body == b'd2 '
+
+
+def test_leaving_host_serves_on_and_closes_after_answers(world):
+    one = desk()
+    system = world(one, start=False)
+    started = system.start_host('host-1', grace=5.0)
+    leaving = []
+
+    def stop():
+        from twisted.internet import defer
+
+        done = defer.Deferred.fromCoroutine(started.stop())
+        done.addCallback(leaving.append)
+
+    atlas_world.in_reactor(stop)
+    assert system.probe(started) == 503
+    answer = system.call('/safe/')
+    assert answer.status == 200
+    assert answer.headers['connection'] == 'close'
+    atlas_world.wait_for(lambda: leaving, 6.0)
