--- /dev/null
+++ b/tests/test_clock.py
@@ -0,0 +1,50 @@
+"""Time that counts leases and timers never follows the time of day."""
+
+import time
+
+from cairnloom.coordination import events
+from cairnloom.coordination import leases
+from cairnloom.coordination import rows
+from cairnloom.runtime import clock
+
+
+def test_reactor_counts_on_the_boot_clock(monkeypatch):
+    reactor = clock.SteadyReactor()
+    fired = []
+    reactor.callLater(60.0, fired.append, 1)
+    before = reactor.seconds()
+    monkeypatch.setattr(time, 'time', lambda: before + 1e6)
+    reactor.runUntilCurrent()
+    assert not fired
+    assert abs(reactor.seconds() - before) < 5.0
+
+
+def test_suspended_host_finds_its_timers_late(monkeypatch):
+    reactor = clock.SteadyReactor()
+    fired = []
+    reactor.callLater(60.0, fired.append, 1)
+    now = clock.read_steady()
+    monkeypatch.setattr(clock, 'read_steady', lambda: now + 61.0)
+    reactor.runUntilCurrent()
+    assert fired == [1]
+
+
+def test_lease_lapses_over_a_suspension(monkeypatch):
+    reactor = clock.SteadyReactor()
+    keeper = leases.LeaseKeeper(leases.LeaseSettings('s', 'h.1'))
+    read = keeper.step(events.Tick(), reactor.seconds())
+    assert len(read) == 1
+    row = events.ReadDone(rows.Row(read[0].key), reactor.seconds())
+    commit = keeper.step(row, reactor.seconds())[0]
+    versions = {write.key: 1 for write in commit.transaction.writes}
+    keeper.step(
+        events.CommitDone(
+            commit.transaction.write_id, versions, reactor.seconds()
+        ),
+        reactor.seconds(),
+    )
+    monkeypatch.setattr(time, 'time', lambda: 1e12)
+    assert keeper.authority(reactor.seconds()) is not None
+    now = clock.read_steady()
+    monkeypatch.setattr(clock, 'read_steady', lambda: now + 10.0)
+    assert keeper.authority(reactor.seconds()) is None
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,461 @@
+"""The adapter to the platform: every message decoded and encoded."""
+
+import base64
+import dataclasses
+import json
+
+import expression
+import orjson
+import pytest
+from twisted.internet import defer
+from twisted.web import http_headers
+
+from cairnloom.coordination import rows
+from cairnloom.entry import settings as host_settings
+from cairnloom import exceptions
+from cairnloom.platform import configuration
+from cairnloom.platform import directory
+from cairnloom.platform import engines
+from cairnloom.platform import intake
+from cairnloom.platform import requests
+from cairnloom.platform import settings
+from cairnloom.platform import store
+from cairnloom.protocol import client
+from cairnloom.routing import instances
+from cairnloom.routing import work
+
+SETTINGS = {
+    'NodeName': 'edge-a-1',
+    'Role': 'entry',
+    'MachineClass': 'edge',
+    'Ip': '10.1.0.31',
+    'Zone': 'a',
+    'Zones': {'a': 'r', 'b': 'r'},
+    'Listen': {
+        'Front': '10.1.0.31:8368',
+        'Ready': '10.1.0.31:8369',
+        'Control': '10.1.0.31:8367',
+    },
+    'InternalPorts': [7780, 7795],
+    'Seeds': ['10.2.0.37:8367'],
+    'Limits': {'MemoryMb': 300, 'MaxFds': 4100, 'CpuShare': 0.5},
+    'Bounds': {'DrainMs': 2500, 'LeaseMs': 3000, 'RetryBudgetRatio': 0.2},
+    'Platform': {'Address': '10.200.1.7:8362', 'form': 'table'},
+    'CloudApi': {'Address': '10.200.0.99:8362', 'Duties': ['autoscale']},
+    'SomethingNew': {'x': 1},
+}
+
+CONFIGURATION = {
+    'Version': 7,
+    'Routes': [
+        {
+            'Name': 'r1',
+            'Host': 'a.example',
+            'PathPrefix': '/p/',
+            'Kind': 'streaming',
+            'TimeoutMs': 4000,
+            'TargetLatencyMs': 500,
+            'Priority': 1,
+            'TrafficSplit': [
+                {'Service': 's', 'Weight': 90},
+                {'Service': 't', 'Weight': 10},
+                {'Service': 'u', 'Weight': 0},
+            ],
+            'MaxAttempts': 2,
+            'Anonymous': False,
+            'Sticky': True,
+            'Resumable': True,
+            'GapAimMs': 150,
+        },
+        {
+            'Name': 'unknown kind',
+            'Host': 'a.example',
+            'PathPrefix': '/q/',
+            'Kind': 'telepathic',
+            'Service': 's',
+        },
+    ],
+    'Services': [
+        {
+            'Name': 's',
+            'HealthPath': '/healthz',
+            'MaxConnections': 360,
+            'Engine': {
+                'Slots': 64,
+                'KvTokens': 554869,
+                'TokenKvBytes': 163840,
+                'LinkMbps': 1700000.0,
+                'HandleTtlS': 5.0,
+                'RoleSwitchS': 3.0,
+            },
+            'Scaling': {
+                'MinReplicas': 1,
+                'MaxReplicas': 3,
+                'BootTimeoutS': 4.0,
+                'SpotPrice': 0.18,
+                'ZonePrices': {'a': 1.0, 'b': 0.8},
+            },
+        },
+        {'Name': 't'},
+    ],
+    'Limits': {
+        'MaxHeaderBytes': 1000,
+        'MaxBodyBytes': 2000,
+        'HeaderTimeoutMs': 3000,
+        'IdleTimeoutMs': 15000,
+    },
+    'Tenants': [{'Name': 'n', 'ApiKeys': ['k1', 'k2'], 'Priority': 1}],
+}
+
+ENTRY = {
+    'Service': 's',
+    'Address': '10.128.0.9:8080',
+    'Zone': 'a',
+    'Version': 'v1',
+    'Slots': 64,
+    'State': 'ready',
+    'ColdRemainingMs': 1500,
+    'Stage': 'decode',
+    'Models': [{'Name': 'm', 'Version': 1, 'Adapters': []}],
+    'Spot': True,
+    'leaves_ms': 2500,
+    'born': 1700000000000,
+    'Sequence': 4,
+}
+
+
+def test_settings_are_decoded(snapshot):
+    found = settings.parse(orjson.dumps(SETTINGS))
+    assert dataclasses.asdict(found) == snapshot
+
+
+@pytest.mark.parametrize(
+    'change, named',
+    [
+        ({'NodeName': ''}, 'NodeName'),
+        ({'Listen': {'Front': '1.2.3.4:1'}}, 'Listen.Ready'),
+        ({'Listen': {'Front': 'x', 'Ready': '1.2.3.4:1'}}, "'x'"),
+        ({'Platform': {}}, 'Platform.Address'),
+        ({'InternalPorts': [1]}, 'InternalPorts'),
+    ],
+)
+def test_faulty_settings_are_named(tmp_path, change, named):
+    path = tmp_path / 'settings.json'
+    path.write_bytes(orjson.dumps(SETTINGS | change))
+    loaded = settings.load(str(path))
+    assert loaded.is_error()
+    assert named in ' '.join(loaded.error)
+
+
+def test_missing_settings_are_named(tmp_path):
+    loaded = settings.load(str(tmp_path / 'none'))
+    assert 'No such file' in loaded.error[0]
+
+
+def test_configuration_is_decoded(snapshot):
+    table = configuration.decode(orjson.dumps(CONFIGURATION))
+    assert [dataclasses.asdict(route) for route in table.routes] == snapshot
+    assert {
+        name: dataclasses.asdict(service)
+        for name, service in table.services.items()
+    } == snapshot
+    assert dataclasses.asdict(table.limits) == snapshot
+    assert table.find_team('k2').name == 'n'
+
+
+@pytest.mark.parametrize('data', [b'', b'[]', b'{}', b'{"Version": "x"}'])
+def test_unreadable_configuration_is_refused(data):
+    with pytest.raises(exceptions.ProtocolError):
+        configuration.decode(data)
+
+
+def test_directory_entry_is_decoded(snapshot):
+    found = directory.decode('i-1', orjson.dumps(ENTRY))
+    assert dataclasses.asdict(found) == snapshot
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'Service': None},
+        {'Service': ''},
+        {'Service': 7},
+        {'Address': 'nowhere'},
+        {'Address': 7},
+        {'Address': '10.0.0.1:x'},
+        {'Zone': None},
+        {'State': 'resting'},
+        {'State': None},
+        {'Slots': 'many'},
+        {'born': '2020'},
+        {'Models': 'm'},
+    ],
+)
+def test_malformed_entry_names_no_endpoint(change):
+    assert directory.decode('i', orjson.dumps(ENTRY | change)) is None
+
+
+@pytest.mark.parametrize('data', [b'', b'\xff', b'[]', b'3', b'{}'])
+def test_unreadable_entry_names_no_endpoint(data):
+    assert directory.decode('i', data) is None
+
+
+CALLER = {
+    b'Host': [b'a.example'],
+    b'Attempt-Id': [b'r1'],
+    b'Deadline-Ms': [b'1500'],
+    b'Authorization': [b'Bearer k1'],
+    b'Model': [b'm'],
+    b'Token-Count': [b'1460,80'],
+    b'Prompt-Prefix': [b'5c1e07a2:800,91bd3f06:410,e4402b7d:250'],
+    b'Last-Event-Id': [b'4'],
+    b'Connection': [b'keep-alive, X-Hop'],
+    b'X-Hop': [b'1'],
+    b'Tenant': [b'forged'],
+    b'kv-source': [b'forged'],
+    b'KV-HOLD': [b'forged'],
+    b'Pin-Ms': [b'forged'],
+    b'Kv-Backup': [b'forged'],
+    b'Serving-Stage': [b'prefill'],
+    b'Kv-Fetch': [b'forged'],
+    b'Request-Priority': [b'0'],
+    b'Expect-Instance': [b'forged'],
+    b'X-Own': [b'kept', b'twice'],
+}
+
+
+def test_callers_headers_are_read(snapshot):
+    found = requests.read_asked(http_headers.Headers(CALLER))
+    assert dataclasses.asdict(found) == snapshot
+
+
+@pytest.mark.parametrize(
+    'name, value, field, expected',
+    [
+        (b'Deadline-Ms', b'soon', 'patience', None),
+        (b'Deadline-Ms', b'-1', 'patience', None),
+        (b'Deadline-Ms', b'inf', 'patience', None),
+        (b'Authorization', b'Basic k1', 'key', ''),
+        (b'Authorization', b'bearer  k1 ', 'key', 'k1'),
+        (b'Token-Count', b'1460', 'work', None),
+        (b'Token-Count', b'-1,2', 'work', None),
+        (b'Token-Count', '٣,2'.encode(), 'work', None),
+        (b'Last-Event-Id', b'x', 'last_event', None),
+    ],
+)
+def test_unreadable_header_counts_as_absent(name, value, field, expected):
+    headers = http_headers.Headers(CALLER | {name: [value]})
+    assert getattr(requests.read_asked(headers), field) == expected
+
+
+@pytest.mark.parametrize(
+    'phase',
+    [
+        work.Whole(),
+        work.Whole('10.0.0.2:80'),
+        work.Prefill('10.0.0.2:80'),
+        work.Decode('10.0.0.1:80', 'h1'),
+    ],
+)
+def test_endpoint_gets_only_what_it_should(phase, snapshot):
+    headers = http_headers.Headers(CALLER)
+    orders = work.Orders('i-1', 1.2345, 'n', 3, phase, 4)
+    written = requests.write_headers(
+        headers.getAllRawHeaders(), requests.read_asked(headers), orders
+    )
+    assert sorted(written.getAllRawHeaders()) == snapshot
+
+
+def test_answers_head_is_read(snapshot):
+    headers = http_headers.Headers(
+        {
+            b'Attempt-Id': [b'r1'],
+            b'Server-Signature': [b's'],
+            b'Server-Load': [b'3,1,8'],
+            b'Instance-Id': [b'i-1'],
+            b'Content-Type': [b'text/plain'],
+            b'Connection': [b'keep-alive'],
+        }
+    )
+    assert dataclasses.asdict(requests.read_head(200, headers)) == snapshot
+
+
+def test_not_run_is_told_by_header_or_status():
+    empty = http_headers.Headers({})
+    marked = http_headers.Headers({b'Not-Executed': [b'1']})
+    assert requests.read_head(421, empty).not_run
+    assert requests.read_head(503, marked).not_run
+    assert not requests.read_head(503, empty).not_run
+
+
+@pytest.mark.parametrize(
+    'value, seconds',
+    [(b'timeout=5', 5.0), (b'max=3, Timeout=7', 7.0), (b'timeout=x', None)],
+)
+def test_idle_time_of_an_endpoint_is_read(value, seconds):
+    headers = http_headers.Headers({b'Keep-Alive': [value]})
+    assert requests.read_idle(headers) == seconds
+
+
+def test_cache_handle_is_read():
+    found = requests.read_cache_handle(b'{"Handle":"h","Tokens":9}')
+    assert found == work.CacheHandle('h', 9)
+    for data in (b'', b'[]', b'{}', b'{"Handle":"h","Tokens":"x"}'):
+        with pytest.raises(exceptions.ProtocolError):
+            requests.read_cache_handle(data)
+
+
+class Recorder:
+    """Answer calls from a list and keep what was sent."""
+
+    def __init__(self, *replies):
+        self.replies = list(replies)
+        self.sent = []
+
+    async def exchange(self, method, url, body=b'', timeout=0.0, headers=None):
+        names = headers.getAllRawHeaders() if headers else []
+        self.sent.append((method, url, body, sorted(names)))
+        reply = self.replies.pop(0)
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+
+def finish(work):
+    """Run a coroutine that needs no reactor."""
+    results = []
+    defer.Deferred.fromCoroutine(work).addBoth(results.append)
+    if hasattr(results[0], 'raiseException'):
+        results[0].raiseException()
+    return results[0]
+
+
+AT = host_settings.Address('10.0.0.9', 80)
+INSTANCE = instances.Instance('i-1', 's', '10.0.0.1', 80, 'a')
+
+
+def reply(status, body):
+    return client.Reply(status, orjson.dumps(body))
+
+
+def raw_row(key, version, value):
+    encoded = base64.b64encode(orjson.dumps({'v': value, 'id': 'w1'}))
+    return {
+        'Table': 'cairnloom',
+        'part': '',
+        'Key': key,
+        'Ver': version,
+        'Value': encoded.decode(),
+    }
+
+
+def make_store(*replies):
+    recorder = Recorder(*replies)
+    return store.Store(recorder, AT, lambda: 10.0), recorder
+
+
+def test_transaction_is_encoded(snapshot):
+    calls, recorder = make_store(reply(200, {'Ver': 12, 'NowMs': 1}))
+    transaction = rows.Transaction(
+        'w1', [rows.Write('k', {'a': 1}, 3)], [rows.Check('c', 0)]
+    )
+    done = finish(calls.commit(transaction))
+    assert done.ok == rows.Committed({'k': 12})
+    method, url, body, _ = recorder.sent[0]
+    assert (method, url, json.loads(body)) == snapshot
+
+
+def test_conflict_names_the_rows_in_the_way():
+    calls, _ = make_store(
+        reply(412, {'Rows': [raw_row('k', 9, 5)], 'Ver': 9, 'NowMs': 1})
+    )
+    done = finish(
+        calls.commit(rows.Transaction('w2', [rows.Write('k', 1, 3)]))
+    )
+    assert done.ok == rows.Conflict([rows.Row('k', 9, 5, 'w1')])
+
+
+@pytest.mark.parametrize(
+    'answer, unknown',
+    [
+        (client.Reply(503, b''), False),
+        (client.Reply(429, b''), False),
+        (client.Reply(500, b''), True),
+        (client.Reply(200, b'not json'), True),
+        (client.Reply(200, b'{}'), True),
+        (exceptions.TransportError('lost', True), True),
+        (exceptions.TransportError('refused', False), False),
+    ],
+)
+def test_failed_write_tells_whether_it_may_have_happened(answer, unknown):
+    calls, _ = make_store(answer)
+    done = finish(calls.commit(rows.Transaction('w', [rows.Write('k', 1, 0)])))
+    assert done.is_error()
+    assert done.error.unknown == unknown
+
+
+def test_rows_are_read():
+    calls, recorder = make_store(
+        reply(200, {'Rows': [raw_row('k', 9, 5)], 'Ver': 9, 'NowMs': 2500}),
+        reply(200, {'Rows': [], 'Ver': 9, 'NowMs': 2500}),
+    )
+    found = finish(calls.read('k'))
+    assert found == expression.Ok(rows.Row('k', 9, 5, 'w1'))
+    assert calls.ahead == pytest.approx(2.5 - 10.0)
+    assert finish(calls.read('none')).ok == rows.Row('none')
+    assert 'Table=cairnloom' in recorder.sent[0][1]
+
+
+def test_long_listing_is_read_to_its_end():
+    first = {'Rows': [raw_row('a', 1, 1)], 'Ver': 5, 'Truncated': True}
+    second = {'Rows': [raw_row('b', 2, 1)], 'Ver': 6, 'Truncated': False}
+    calls, recorder = make_store(reply(200, first), reply(200, second))
+    found = finish(calls.list_rows('servers'))
+    assert [row.key for row in found.rows] == ['a', 'b']
+    assert 'From=a' in recorder.sent[1][1]
+
+
+def test_changes_are_followed():
+    removed = {'Table': 't', 'part': '', 'Key': 'k', 'Ver': 8}
+    calls, _ = make_store(
+        reply(200, {'Rows': [removed | {'Removed': True}], 'Ver': 8}),
+        client.Reply(410, b''),
+    )
+    found = finish(calls.follow('servers', 5))
+    assert found.rows == [store.RawRow('k', 8, None)]
+    assert isinstance(finish(calls.follow('servers', 5)), store.HistoryLost)
+
+
+def test_duties_are_encoded(snapshot):
+    recorder = Recorder(
+        client.Reply(200, b''), client.Reply(200, b''), client.Reply(409, b'')
+    )
+    calls = intake.Intake(recorder, AT, 'host-1')
+    finish(calls.report_usage(7, 3, {'n': 5}))
+    assert finish(calls.order_count('s', 'a', 2, False, 3))
+    assert not finish(calls.order_count('s', 'a', 2, True, 3))
+    assert recorder.sent == snapshot
+
+
+def test_orders_to_engines_are_encoded(snapshot):
+    report = {'Stage': 'decode', 'Busy': False, 'Sequence': 2, 'Runs': []}
+    recorder = Recorder(
+        reply(200, report),
+        client.Reply(202, b''),
+        client.Reply(409, b''),
+        client.Reply(200, b''),
+    )
+    calls = engines.Engines(recorder, 'host-1')
+    found = finish(calls.report(INSTANCE))
+    assert (found.role, found.sequence) == ('decode', 2)
+    assert finish(calls.change_role(INSTANCE, 'prefill', 3, 2))
+    assert not finish(calls.change_role(INSTANCE, 'prefill', 3, 2))
+    finish(calls.free_cache(INSTANCE, 'h'))
+    assert recorder.sent == snapshot
+
+
+@pytest.mark.parametrize('body', [b'', b'[]', b'{}', b'{"Stage": 1}'])
+def test_unreadable_report_is_an_error(body):
+    calls = engines.Engines(Recorder(client.Reply(200, body)), 'host-1')
+    with pytest.raises(exceptions.EndpointError):
+        finish(calls.report(INSTANCE))
