Ask feeds anew once the store answers again; count queues by urgency

Now any other call that is answered again ends the waiting ones, and a call waits 10 s at most.

What would miss its first event is refused at once with a time to come back.

--- a/src/cairnloom/entry/forwarding.py
+++ b/src/cairnloom/entry/forwarding.py
@@ -86,6 +86,9 @@
         self._route = route
         self._service = service
         self._team = team
+        self._urgency = route.priority
+        if team is not None and team.priority is not None:
+            self._urgency = team.priority
         self._began = host.now()
         patience = route.timeout
         if asked.patience is not None:
@@ -143,6 +146,10 @@
             plan = self._plan(tried)
             if plan is None:
                 break
+            late = self._find_lateness(plan)
+            if late > 0 and not self._maybe_ran:
+                self._refuse('too late', late)
+                return
             if plan.apart:
                 phase = await self._read_apart(plan.reading)
                 if phase is None:
@@ -167,14 +174,22 @@
         answering = self._candidates('decode', tried)
         now = self._host.now()
         return self._host.placer.plan(
-            reading, answering, asked, self._route, now
+            reading, answering, asked, self._route, self._urgency, now
+        )
+
+    def _find_lateness(self, plan: placing.Plan) -> float:
+        now = self._host.now()
+        left = min(
+            self._deadline, self._began + self._route.first_event_patience
         )
+        expected = now + plan.reading.seconds
+        return expected - left if self._last_event is None else 0.0
 
     async def _run_beside(
         self, reading: placing.Reading, tried: set[str]
     ) -> _Outcome:
         tracker = self._host.trackers.of(reading.instance)
-        tracker.pending_tokens += reading.new_tokens
+        tracker.add_pending(self._urgency, reading.new_tokens)
         tried.add(reading.instance.name)
         self._pending = (tracker, reading.new_tokens)
         try:
@@ -211,7 +226,7 @@
     def _settle_pending(self) -> None:
         if self._pending is not None:
             tracker, tokens = self._pending
-            tracker.pending_tokens -= tokens
+            tracker.add_pending(self._urgency, -tokens)
             self._pending = None
 
     async def _read_apart(self, choice: placing.Reading) -> work.Decode | None:
@@ -223,7 +238,7 @@
         asked = self._asked.work
         assert asked is not None and self._service.engine is not None
         alone = tracker.running == 0
-        tracker.pending_tokens += choice.new_tokens
+        tracker.add_pending(self._urgency, choice.new_tokens)
         tracker.running += 1
         self._note_cached(instance)
         began = host.now()
@@ -241,7 +256,7 @@
             self._note_attempt(instance, 'prefill', str(fault))
             return None
         finally:
-            tracker.pending_tokens -= choice.new_tokens
+            tracker.add_pending(self._urgency, -choice.new_tokens)
             tracker.running -= 1
         if head.status != 200 or not whole:
             self._note_attempt(instance, 'prefill', 'status %d' % head.status)
@@ -352,14 +367,11 @@
         if not host.knowledge.directory.is_current(instance):
             raise exceptions.EndpointError('left meanwhile', False)
         team = self._team
-        urgency = self._route.priority
-        if team is not None and team.priority is not None:
-            urgency = team.priority
         orders = work.Orders(
             instance=instance.name,
             left=self._deadline - host.now(),
             team=team.name if team else '',
-            urgency=urgency if self._service.engine else None,
+            urgency=self._urgency if self._service.engine else None,
             phase=phase,
             last_event=self._last_event,
         )
@@ -500,13 +512,13 @@
         budget = host.budget(self._service.name)
         return budget.take(host.now(), host.hosts)
 
-    def _refuse(self, reason: str) -> None:
+    def _refuse(self, reason: str, late: float = 0.0) -> None:
         if self._caller.begun:
             self._caller.abort()
         elif self._maybe_ran:
             self._caller.answer(502, [])
         else:
-            wait = random.uniform(*RETRY_SECONDS)
+            wait = late + random.uniform(*RETRY_SECONDS)
             retry = self._host.dialect.write_retry_after(wait)
             self._caller.answer(503, [retry])
         self._note_end('refused', reason)
--- a/src/cairnloom/entry/knowledge.py
+++ b/src/cairnloom/entry/knowledge.py
@@ -138,6 +138,7 @@
         self._version: int | None = None
         self._pause = FIRST_PAUSE_SECONDS
         self._failed = False
+        self._waiting: defer.Deferred[Update | None] | None = None
         knowledge.reachable[source.name] = False
 
     async def run(self) -> None:
@@ -153,11 +154,16 @@
                 self._pause = min(LONGEST_PAUSE_SECONDS, 2 * self._pause)
                 await task.deferLater(self._reactor, wait, lambda: None)
 
+    def renew(self) -> None:
+        """Ask anew: an outage may have swallowed the call under way."""
+        if self._waiting is not None:
+            self._waiting.cancel()
+
     async def _round(self) -> None:
         if self._version is None:
             update = await self._source.read()
         else:
-            followed = await self._source.follow(self._version)
+            followed = await self._follow(self._version)
             if followed is None:
                 logs.note('history_lost', source=self._source.name)
                 self._version = None
@@ -167,6 +173,15 @@
         self._knowledge.take(update, self._reactor.seconds())
         self._when_read(update)
 
+    async def _follow(self, version: int) -> Update | None:
+        self._waiting = defer.Deferred.fromCoroutine(
+            self._source.follow(version)
+        )
+        try:
+            return await self._waiting
+        finally:
+            self._waiting = None
+
     def _note(self, reachable: bool, reason: str = '') -> None:
         name = self._source.name
         before = self._knowledge.reachable[name]
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -159,6 +159,7 @@
             programs.Loop(reactor, exchange.PERIOD_SECONDS, self._tell_load),
         ]
         self._ports: dict[str, Any] = {}
+        self._followers: list[knowledge.Follower] = []
         self._tasks: list[defer.Deferred[None]] = []
 
     async def start(self) -> None:
@@ -180,7 +181,9 @@
             follower = knowledge.Follower(
                 self._reactor, source, self._host.knowledge
             )
+            self._followers.append(follower)
             self._tasks.append(knowledge.start(follower.run()))
+        self._parts.store.when_back = self._renew_feeds
         for loop in self._loops:
             loop.start()
         logs.note('started', host=chosen.host, owner=self._owner)
@@ -225,6 +228,11 @@
             at.port, factory, backlog=CONNECTION_BACKLOG, interface=at.host
         )
 
+    def _renew_feeds(self) -> None:
+        logs.note('store_back')
+        for follower in self._followers:
+            follower.renew()
+
     def _is_ready(self) -> bool:
         return self._host.knowledge.is_ready() and not self._host.leaving
 
--- a/src/cairnloom/platform/store.py
+++ b/src/cairnloom/platform/store.py
@@ -22,8 +22,9 @@
 TABLE = 'cairnloom'
 # A call takes some milliseconds; longer means an outage or a lost reply.
 TIMEOUT_SECONDS = 1.0
-# The longest wait that the store grants, less than its quiet limit.
-FEED_WAIT_SECONDS = 20.0
+# How long the store may hold a call that waits for changes. A call that an
+# outage swallowed is noticed no later.
+FEED_WAIT_SECONDS = 10.0
 # A dead connection looks like a quiet one for this long after the wait.
 FEED_SLACK_SECONDS = 1.5
 # Slower replies say too little about the store's clock.
@@ -75,6 +76,8 @@
         self._seconds = seconds
         # How far the store's clock is ahead of this host's steady one.
         self.ahead: float | None = None
+        self.when_back: Callable[[], None] = lambda: None
+        self.answers = True
         self._base = 'http://%s:%d' % (at.host, at.port)
         self.reads = 0
         self.writes = 0
@@ -202,14 +205,18 @@
                 method, self._base + path, body, timeout
             )
         except exceptions.TransportError as fault:
+            self.answers = False
             raise exceptions.PlatformError(
                 'store: %s' % fault, fault.sent
             ) from fault
+        refused = reply.status in (429, 503)
+        if not self.answers and not refused:
+            self.answers = True
+            self.when_back()
         if reply.status not in (200, 410, 412):
             # 429 and 503 say that nothing was done.
             raise exceptions.PlatformError(
-                'store: status %d' % reply.status,
-                reply.status not in (429, 503),
+                'store: status %d' % reply.status, not refused
             )
         return reply
 
--- a/src/cairnloom/routing/exchange.py
+++ b/src/cairnloom/routing/exchange.py
@@ -21,11 +21,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class EndpointLoad:
-    """What one host has under way at an endpoint."""
+    """What one host has under way at an endpoint.
+
+    ``pending`` holds prompt tokens by urgency.
+    """
 
     endpoint: str
     running: int
-    pending_tokens: int
+    pending: dict[int, int]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,7 +72,7 @@
             return None
         self._next_at = now + period(hosts) - PERIOD_SECONDS / 2
         loads = [
-            EndpointLoad(name, tracker.running, tracker.pending_tokens)
+            EndpointLoad(name, tracker.running, dict(tracker.pending))
             for name, tracker in self._trackers.busy_ones()
         ]
         idle = not loads and not self._parts
@@ -93,7 +96,7 @@
         for load in message.loads:
             tracker = self._trackers.named(load.endpoint)
             tracker.peers[message.host] = trackers.PeerLoad(
-                load.running, load.pending_tokens, until
+                load.running, load.pending, until
             )
         for read in message.parts:
             tracker = self._trackers.named(read.endpoint)
--- a/src/cairnloom/routing/placing.py
+++ b/src/cairnloom/routing/placing.py
@@ -111,12 +111,15 @@
         answering: list[instances.Instance],
         asked: work.Work,
         route: routes.Route,
+        urgency: int,
         now: float,
     ) -> Plan | None:
         """Choose where a prompt is read, apart or by who answers."""
-        apart = self._choose_reading(reading, answering, asked, 1.0, now)
+        apart = self._choose_reading(
+            reading, answering, asked, urgency, 1.0, now
+        )
         beside = self._choose_reading(
-            answering, reading, asked, IN_PLACE_SPEED, now
+            answering, reading, asked, urgency, IN_PLACE_SPEED, now
         )
         if beside is None:
             return None
@@ -141,6 +144,7 @@
         ready: list[instances.Instance],
         others: list[instances.Instance],
         asked: work.Work,
+        urgency: int,
         speed: float,
         now: float,
     ) -> Reading | None:
@@ -154,7 +158,9 @@
         }
         holder = max([*usable, *others], key=lambda item: cached[item.name])
         found = [
-            self._estimate(item, asked, cached, home, holder, speed, now)
+            self._estimate(
+                item, asked, urgency, cached, home, holder, speed, now
+            )
             for item in usable
         ]
         return min(found, key=lambda reading: reading.seconds)
@@ -163,6 +169,7 @@
         self,
         item: instances.Instance,
         asked: work.Work,
+        urgency: int,
         cached: dict[str, int],
         home: instances.Instance | None,
         holder: instances.Instance,
@@ -178,7 +185,7 @@
         elif not here and home is not None and item is not home:
             seconds += AWAY_SECONDS
         new = max(0, asked.prompt_tokens - max(here, there))
-        queued = self._trackers.of(item).queued_tokens(now)
+        queued = self._trackers.of(item).queued_tokens(urgency, now)
         seconds += (queued + new) / (self.rate * speed)
         return Reading(item, seconds, new, neighbour)
 
--- a/src/cairnloom/routing/routes.py
+++ b/src/cairnloom/routing/routes.py
@@ -6,6 +6,12 @@
 import dataclasses
 from typing import Literal
 
+# When callers give a stream up that says nothing: after this time, so many
+# times the target, or so many times the pause, whichever is longest.
+FIRST_EVENT_SECONDS = 2.0
+FIRST_EVENT_TARGETS = 4.0
+FIRST_EVENT_PAUSES = 8.0
+
 Kind = Literal['idempotent', 'once', 'stream']
 
 
@@ -41,6 +47,18 @@
     sticky: bool = False
     resumable: bool = False
 
+    @property
+    def first_event_patience(self) -> float:
+        """How long callers of a stream wait for its first event, in seconds.
+
+        The platform's callers leave after the longest of these.
+        """
+        return max(
+            FIRST_EVENT_SECONDS,
+            FIRST_EVENT_TARGETS * self.first_answer,
+            FIRST_EVENT_PAUSES * self.pause,
+        )
+
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
--- a/src/cairnloom/routing/trackers.py
+++ b/src/cairnloom/routing/trackers.py
@@ -25,19 +25,21 @@
     """What another host has under way, as it told; ``until`` is a time."""
 
     running: int
-    pending_tokens: int
+    pending: dict[int, int]
     until: float
 
 
 @dataclasses.dataclass
 class Tracker:
-    """One instance; ``pending_tokens`` are prompt tokens sent, not read.
+    """One instance.
 
-    ``room`` bounds the tokens of parts that are taken to be cached.
+    ``pending`` holds the prompt tokens that were sent and not read yet, by
+    urgency, 0 first. ``room`` bounds the tokens of parts that are taken to be
+    cached.
     """
 
     running: int = 0
-    pending_tokens: int = 0
+    pending: dict[int, int] = dataclasses.field(default_factory=dict)
     failures: int = 0
     avoid_until: float = float('-inf')
     others: float = 0.0
@@ -64,14 +66,21 @@
         )
         return self.running + max(told, self.others * fade)
 
-    def queued_tokens(self, now: float) -> int:
-        """Estimate the prompt tokens that all hosts sent, not read yet."""
-        told = sum(
-            load.pending_tokens
-            for load in self.peers.values()
-            if now < load.until
-        )
-        return self.pending_tokens + told
+    def add_pending(self, urgency: int, tokens: int) -> None:
+        """Note prompt tokens that were sent, or read where negative."""
+        left = self.pending.get(urgency, 0) + tokens
+        if left > 0:
+            self.pending[urgency] = left
+        else:
+            self.pending.pop(urgency, None)
+
+    def queued_tokens(self, urgency: int, now: float) -> int:
+        """Estimate the prompt tokens that are read before a new one."""
+        total = _sum_ahead(self.pending, urgency)
+        for load in self.peers.values():
+            if now < load.until:
+                total += _sum_ahead(load.pending, urgency)
+        return total
 
     def note_failure(self, now: float) -> None:
         """Pass the endpoint over for a while."""
@@ -112,6 +121,10 @@
         return total
 
 
+def _sum_ahead(pending: dict[int, int], urgency: int) -> int:
+    return sum(tokens for rank, tokens in pending.items() if rank <= urgency)
+
+
 class Trackers:
     """The trackers of all instances, by name.
 
@@ -142,7 +155,7 @@
         return [
             (name, tracker)
             for name, tracker in self._known.items()
-            if tracker.running or tracker.pending_tokens
+            if tracker.running or tracker.pending
         ]
 
     def forget(self, instance: instances.Instance) -> None:
