--- a/src/cairnloom/entry/forwarding.py
+++ b/src/cairnloom/entry/forwarding.py
@@ -14,6 +14,7 @@
 from .. import exceptions
 from ..routing import instances
 from ..routing import placing
+from ..routing import quarantine
 from ..routing import routes
 from ..routing import trackers
 from ..routing import work
@@ -120,6 +121,12 @@
         return running
 
     async def _run(self) -> None:
+        held = self._host.quarantine
+        if not held.is_empty() and held.is_refused(
+            self._fingerprint(), self._host.now()
+        ):
+            self._refuse('crashed endpoints')
+            return
         if self._service.engine is not None and self._asked.work is not None:
             await self._run_model()
         else:
@@ -253,6 +260,8 @@
             )
         except exceptions.EndpointError as fault:
             tracker.note_failure(host.now())
+            if fault.broken and fault.ran:
+                self._note_broken(instance, False)
             self._note_attempt(instance, 'prefill', str(fault))
             return None
         finally:
@@ -304,6 +313,8 @@
             tracker.running -= 1
         match outcome:
             case _Failed(reason=reason):
+                if outcome.broken:
+                    self._note_broken(instance, self._caller.begun)
                 self._ran += 1
                 self._maybe_ran = True
                 self._note_attempt(instance, 'failed', reason)
@@ -318,6 +329,24 @@
                 tracker.note_success()
         return outcome
 
+    def _note_broken(
+        self, instance: instances.Instance, answering: bool
+    ) -> None:
+        self._host.quarantine.note_broken(
+            quarantine.Broken(
+                instance.name,
+                instance.failure_domain,
+                self._fingerprint(),
+                answering,
+                self._host.now(),
+            )
+        )
+
+    def _fingerprint(self) -> str:
+        team = self._team.name if self._team else ''
+        content = self._caller.target + b'\0' + self._caller.body
+        return quarantine.fingerprint(team, content)
+
     def _goes_on(self, outcome: _Outcome) -> bool:
         match outcome:
             case _Answered():
--- a/src/cairnloom/entry/peers.py
+++ b/src/cairnloom/entry/peers.py
@@ -120,7 +120,7 @@
     ) -> None:
         self._http = http
         self._me = me
-        self._port = port
+        self.port = port
         self._known: list[str] = [self._base(seed) for seed in seeds]
         self._last = ''
         self._telling: set[str] = set()
@@ -130,7 +130,7 @@
         found = [
             'http://%s:%d' % address
             for address in addresses
-            if address[0] != self._me
+            if address != (self._me, self.port)
         ]
         if found:
             self._known = found
@@ -213,7 +213,7 @@
         return others[:TRIES]
 
     def _base(self, host: str) -> str:
-        return 'http://%s:%d' % (host, self._port)
+        return 'http://%s:%d' % (host, self.port)
 
 
 class RelayedTable:
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -17,9 +17,11 @@
 from ..coordination import leases
 from ..coordination import usage
 from ..protocol import client
+from ..protocol import codec
 from ..protocol import server
 from ..routing import exchange
 from ..routing import placing
+from ..routing import quarantine
 from ..routing import trackers
 from ..runtime import leadership
 from ..runtime import logs
@@ -36,6 +38,7 @@
 from . import reporting
 from . import settings
 from . import state
+from . import status
 from . import upstream
 
 # The lease lasts longer than the platform's bound on holders that take
@@ -105,6 +108,7 @@
             trackers=known,
             placer=placing.Placer(known, chosen.failure_domain),
             exchange=exchange.LoadExchange(chosen.host, known),
+            quarantine=quarantine.Quarantine(chosen.host),
             book=usage.UsageBook(self._owner),
             metrics=metrics.Metrics(),
         )
@@ -175,7 +179,13 @@
                 self._host.knowledge, self._parts.store, self._take_load
             ),
         )
-        self._members.port = self.address('internal')[1]
+        self._ports['admin'] = server.listen(
+            self._reactor,
+            chosen.admin.host,
+            chosen.admin.port,
+            {'/metrics': self._show_metrics, '/state': self._show_state},
+        )
+        self._members.port = self._peers.port = self.address('internal')[1]
         self._host.knowledge.when_gone = self._forget
         for source in self._parts.sources:
             follower = knowledge.Follower(
@@ -228,6 +238,21 @@
             at.port, factory, backlog=CONNECTION_BACKLOG, interface=at.host
         )
 
+    async def _show_metrics(self, call: server.Call) -> server.Answer:
+        host, counted = self._host, self._host.metrics
+        counted.gauge('under_way', len(self._front.under_way))
+        counted.gauge('ready', self._is_ready())
+        counted.gauge('hosts', host.hosts)
+        counted.gauge('store_answers', host.knowledge.is_fresh())
+        counted.gauge('store_reads', self._parts.store.reads)
+        counted.gauge('store_writes', self._parts.store.writes)
+        counted.gauge('connections_opened', host.upstream.opened)
+        return server.Answer(counted.render().encode(), 200, 'text/plain')
+
+    async def _show_state(self, call: server.Call) -> server.Answer:
+        state_now = status.describe(self._host, len(self._front.under_way))
+        return server.Answer(codec.encode(state_now))
+
     def _renew_feeds(self) -> None:
         logs.note('store_back')
         for follower in self._followers:
@@ -243,6 +268,7 @@
     async def _tidy(self) -> None:
         now = self._host.now()
         self._host.knowledge.expire(now)
+        self._host.quarantine.settle(now)
         self._host.upstream.expire()
 
     async def _meet(self) -> None:
@@ -261,13 +287,15 @@
 
     async def _tell_load(self) -> None:
         host = self._host
-        message = host.exchange.message(host.hosts, host.now())
+        marks = host.quarantine.message(host.now())
+        message = host.exchange.message(host.hosts, host.now(), marks)
         if message is not None:
             self._peers.tell(message)
 
     def _take_load(self, message: exchange.LoadMessage) -> None:
         host = self._host
         host.exchange.take(message, host.hosts, host.now())
+        host.quarantine.merge(message.marks, host.now())
 
     async def _ask_peers(self) -> None:
         host = self._host
--- a/src/cairnloom/entry/settings.py
+++ b/src/cairnloom/entry/settings.py
@@ -45,6 +45,7 @@
     callers: Address
     health: Address
     internal: Address
+    admin: Address
     seeds: tuple[str, ...]
     store: Address
     intake: Address
--- a/src/cairnloom/entry/state.py
+++ b/src/cairnloom/entry/state.py
@@ -11,6 +11,7 @@
 from ..routing import exchange
 from ..routing import instances
 from ..routing import placing
+from ..routing import quarantine
 from ..routing import trackers
 from ..routing import work
 from ..runtime import metrics
@@ -65,6 +66,7 @@
     trackers: trackers.Trackers
     placer: placing.Placer
     exchange: exchange.LoadExchange
+    quarantine: quarantine.Quarantine
     book: usage.UsageBook
     metrics: metrics.Metrics
     hosts: int = 1
--- a/src/cairnloom/platform/settings.py
+++ b/src/cairnloom/platform/settings.py
@@ -11,6 +11,8 @@
 from ..protocol import codec
 
 PATH_VARIABLE = 'CAIRNLOOM_CONFIG'
+# Named in the deploy file too, since the platform reads metrics there.
+METRICS_PORT = 9464
 # The platform counts memory in binary megabytes.
 _MEGABYTE = 1024 * 1024
 
@@ -92,6 +94,7 @@
         callers=parse_address(found.Listen.Front),
         health=parse_address(found.Listen.Ready),
         internal=settings.Address(found.Ip, found.InternalPorts[0]),
+        admin=settings.Address(found.Ip, METRICS_PORT),
         # The platform names addresses that another role serves; peers listen
         # beside them, on the internal port.
         seeds=tuple(parse_address(seed).host for seed in found.Seeds),
--- a/src/cairnloom/routing/exchange.py
+++ b/src/cairnloom/routing/exchange.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 
+from . import quarantine
 from . import trackers
 from . import work
 
@@ -41,12 +42,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class LoadMessage:
-    """What one host tells the others; loads are complete, parts are new."""
+    """What one host tells the others; loads are complete, parts are new.
+
+    ``marks`` name requests that crashed endpoints.
+    """
 
     host: str
     sequence: int
     loads: list[EndpointLoad]
     parts: list[PartsRead]
+    marks: list[quarantine.Mark] = dataclasses.field(default_factory=list)
 
 
 class LoadExchange:
@@ -66,7 +71,12 @@
         if len(self._parts) < PARTS_PER_MESSAGE:
             self._parts.append(PartsRead(endpoint, list(parts)))
 
-    def message(self, hosts: int, now: float) -> LoadMessage | None:
+    def message(
+        self,
+        hosts: int,
+        now: float,
+        marks: list[quarantine.Mark] | None = None,
+    ) -> LoadMessage | None:
         """Return what is to be told now, if anything."""
         if now < self._next_at:
             return None
@@ -75,13 +85,15 @@
             EndpointLoad(name, tracker.running, dict(tracker.pending))
             for name, tracker in self._trackers.busy_ones()
         ]
-        idle = not loads and not self._parts
+        idle = not loads and not self._parts and not marks
         if idle and self._was_idle:
             return None
         self._was_idle = idle
         self._sequence += 1
         parts, self._parts = self._parts, []
-        return LoadMessage(self._host, self._sequence, loads, parts)
+        return LoadMessage(
+            self._host, self._sequence, loads, parts, marks or []
+        )
 
     def take(self, message: LoadMessage, hosts: int, now: float) -> None:
         """Take what a peer tells."""
--- a/src/cairnloom/routing/quarantine.py
+++ b/src/cairnloom/routing/quarantine.py
@@ -94,6 +94,10 @@
         }
         return len(endpoints | unsettled) >= MARKS_TO_REFUSE
 
+    def is_empty(self) -> bool:
+        """Tell whether no request is suspected of anything."""
+        return not self._marks and not self._broken
+
     def message(self, now: float) -> list[Mark]:
         """Return the newest marks, for peers."""
         newest = sorted(self._marks.values(), key=lambda item: -item[1])
--- a/tests/atlas_world.py
+++ b/tests/atlas_world.py
@@ -166,6 +166,7 @@
             callers=nowhere,
             health=nowhere,
             internal=nowhere,
+            admin=nowhere,
             seeds=tuple(seeds),
             store=settings.Address('127.0.0.1', self._store_port),
             intake=settings.Address('127.0.0.1', self._intake_port),
@@ -239,6 +240,10 @@
                 return b''
             return read_all(connection)
 
+    def admin(self, path, host=0):
+        """Read a page of a host's admin listener."""
+        return self._get(self.programs[host].address('admin'), path)
+
     def _get(self, address, path):
         return self._exchange(address, 'GET', path, b'', {})
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -4,6 +4,7 @@
 import time
 
 import atlas_world
+import orjson
 import pytest
 
 from cairnloom.standins import atlas
@@ -287,7 +288,7 @@
     one.script.clear()
     two.script.clear()
     begun.script.append('tear')
-    answer = system.ask_model('/resume/x')
+    answer = system.ask_model('/resume/y')
     assert answer.whole
     assert answer.body == whole_stream()
 
@@ -323,8 +324,7 @@
     second = system.start_host('host-2', ready=False)
     assert system.probe(second) == 503
     host, port = first.address('internal')
-    second._peers.meet([('127.0.0.2', port)])
-    second._peers._known = ['http://%s:%d' % (host, port)]
+    second._peers.meet([(host, port)])
     atlas_world.wait_for(lambda: system.probe(second) == 200)
     assert system.call('/safe/', host=1).status == 200
 
@@ -373,3 +373,39 @@
     atlas_world.wait_for(lambda: system.call('/safe/').status == 401, 8.0)
     # The bound on contact with the store, and the one on a change.
     assert time.monotonic() - came_back < 5.0
+
+
+def test_request_that_crashes_endpoints_is_refused_by_every_host(world):
+    every = [desk('d%d' % number) for number in range(4)]
+    system = world(*every, start=False)
+    system.start_host('host-1')
+    system.start_host('host-2')
+    hosts = [started._host for started in system.programs]
+    atlas_world.wait_for(lambda: all(host.hosts == 2 for host in hosts), 12.0)
+    for item in every:
+        item.script.extend(['lose'] * 6)
+    for _ in range(3):
+        assert system.call('/once/bad', 'POST', b'x').status in (502, 503)
+        time.sleep(0.3)
+    for item in every:
+        item.script.clear()
+    time.sleep(1.0)
+    arrived = sum(len(item.seen) for item in every)
+    for host in (0, 1):
+        answer = system.call('/once/bad', 'POST', b'x', host=host)
+        assert answer.status == 503
+        other = system.call('/once/good', 'POST', b'x', host=host)
+        assert other.status == 200
+    assert sum(len(item.seen) for item in every) == arrived + 2
+
+
+def test_metrics_and_state_are_shown(world):
+    system = world(desk(), engine('w1', 'decode'))
+    assert system.call('/safe/').status == 200
+    shown = system.admin('/metrics').body.decode()
+    assert 'cairnloom_requests{route="idempotent"} 1' in shown
+    assert 'cairnloom_request_seconds_count 1' in shown
+    dumped = orjson.loads(system.admin('/state').body)
+    assert dumped['configuration'] == 1
+    assert {item['name'] for item in dumped['endpoints']} == {'d1', 'w1'}
+    assert atlas_world.KEY not in system.admin('/state').body.decode()
