End make run and make demo at once where a port is taken or a step fails

Found on the landed demo: with another instance on the same ports no program started, a ProcessLookupError was printed, and the demo still ended with 'promises: kept', status 0. Tests for both; the shell says nothing more of the gateway that the demo kills.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -75,10 +75,18 @@
             load.start(self.at(RECLAIM_AT, self.reclaim)),
         ]
         running = await self.offer()
-        await defer.DeferredList(running + events)
+        await self.finish(running + events)
         await self.load.sleep(USAGE_WAIT_SECONDS)
         await self.judge()
 
+    async def finish(self, steps):
+        """Wait for every step; one that failed breaks the demo."""
+        for succeeded, result in await defer.DeferredList(
+            steps, consumeErrors=True
+        ):
+            if not succeeded:
+                self.broken.append('a step failed: %r' % result.value)
+
     async def at(self, seconds, event):
         """Let something happen at a time of the script."""
         await self.load.sleep(seconds)
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -10,10 +10,14 @@
 logs=run/$deployment
 mkdir -p "$logs"
 pids=()
+names=()
+
+"$bin/python" scripts/check_ports.py "$deployment" || exit 1
 
 start() {  # start NAME PROGRAM SETTINGS
     "$bin/$2" --settings "$3" 2>"$logs/$1.log" &
     pids+=($!)
+    names+=("$1")
     echo "$!" >"$logs/$1.pid"
 }
 
@@ -21,9 +25,24 @@
     trap - EXIT INT TERM
     # Entry hosts first, the platform last.
     for pid in "${pids[@]:1}"; do kill -TERM "$pid" 2>/dev/null; done
-    for pid in "${pids[@]:1}"; do wait "$pid" 2>/dev/null; done
+    for pid in "${pids[@]:1}"; do await_end "$pid"; done
     kill -TERM "${pids[0]}" 2>/dev/null
-    wait "${pids[0]}" 2>/dev/null
+    await_end "${pids[0]}"
+}
+
+await_end() {
+    while kill -0 "$1" 2>/dev/null; do sleep 0.1; done
+}
+
+check_running() {
+    for index in "${!pids[@]}"; do
+        if ! kill -0 "${pids[$index]}" 2>/dev/null; then
+            echo "${names[$index]} has ended; see" \
+                "$logs/${names[$index]}.log" >&2
+            tail -n 3 "$logs/${names[$index]}.log" >&2
+            exit 1
+        fi
+    done
 }
 trap stop EXIT
 trap 'exit 130' INT TERM
@@ -36,10 +55,22 @@
     done
 done
 
-"$bin/python" scripts/prepare.py "$deployment" || exit 1
+# The shell then says nothing of a program that the demo kills.
+disown -a
+
+"$bin/python" scripts/prepare.py "$deployment" &
+preparing=$!
+while kill -0 "$preparing" 2>/dev/null; do
+    check_running
+    sleep 0.2
+done
+wait "$preparing" || exit 1
 if [ $# -gt 0 ]; then
     "$@"
     exit $?
 fi
 echo "Ctrl-C stops everything. Logs are in $logs."
-wait
+while true; do
+    check_running
+    sleep 1
+done
--- /dev/null
+++ b/tests/test_scripts.py
@@ -0,0 +1,59 @@
+"""The scripts that a newcomer runs first fail loudly."""
+
+import json
+import pathlib
+import socket
+import subprocess
+import sys
+
+from twisted.internet import defer
+
+ROOT = pathlib.Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT / 'scripts'))
+
+import check_ports  # noqa: E402
+import demo  # noqa: E402
+
+
+def write_example(folder, port):
+    listener = {'address': '127.0.0.1', 'port': port}
+    settings = {'callers': listener, 'limits': {}}
+    (folder / 'host-0.json').write_text(json.dumps(settings))
+
+
+def test_taken_port_is_named(tmp_path, capsys):
+    with socket.create_server(('127.0.0.1', 0)) as other:
+        port = other.getsockname()[1]
+        write_example(tmp_path, port)
+        assert check_ports.main(tmp_path) == 1
+    assert 'port %d of 127.0.0.1 is taken' % port in capsys.readouterr().err
+    assert check_ports.main(tmp_path) == 0
+
+
+def test_every_listener_of_an_example_is_checked():
+    addresses = check_ports.list_addresses(ROOT / 'examples/casablanca')
+    assert ('127.0.0.1', 18080) in addresses
+    assert len(addresses) >= 24
+
+
+def test_run_ends_at_once_where_a_port_is_taken():
+    with socket.create_server(('127.0.0.1', 18080)):
+        ended = subprocess.run(
+            ['scripts/run.sh', 'casablanca', 'true'],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=20,
+        )
+    assert ended.returncode == 1
+    assert 'is taken' in ended.stderr
+
+
+def test_step_that_fails_breaks_the_demo():
+    script = demo.Demo.__new__(demo.Demo)
+    script.broken = []
+    done = []
+    steps = [defer.fail(ProcessLookupError('no such process'))]
+    defer.Deferred.fromCoroutine(script.finish(steps)).addBoth(done.append)
+    assert done == [None]
+    assert 'no such process' in script.broken[0]
