Keep entries that lapse in an outage, as any failed call to the store tells

Now every call that fails or is answered again starts the grace time. A feed is asked anew only if its call was sent before the store came back.

--- a/src/cairnloom/entry/knowledge.py
+++ b/src/cairnloom/entry/knowledge.py
@@ -138,6 +138,7 @@
         self._version: int | None = None
         self._pause = FIRST_PAUSE_SECONDS
         self._failed = False
+        self._asked_at = float('-inf')
         self._waiting: defer.Deferred[Update | None] | None = None
         knowledge.reachable[source.name] = False
 
@@ -154,9 +155,12 @@
                 self._pause = min(LONGEST_PAUSE_SECONDS, 2 * self._pause)
                 await task.deferLater(self._reactor, wait, lambda: None)
 
-    def renew(self) -> None:
-        """Ask anew: an outage may have swallowed the call under way."""
-        if self._waiting is not None:
+    def renew(self, before: float) -> None:
+        """Ask anew if the call under way was sent before a time.
+
+        An outage may have swallowed it.
+        """
+        if self._waiting is not None and self._asked_at < before:
             self._waiting.cancel()
 
     async def _round(self) -> None:
@@ -174,6 +178,7 @@
         self._when_read(update)
 
     async def _follow(self, version: int) -> Update | None:
+        self._asked_at = self._reactor.seconds()
         self._waiting = defer.Deferred.fromCoroutine(
             self._source.follow(version)
         )
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -194,6 +194,7 @@
             self._followers.append(follower)
             self._tasks.append(knowledge.start(follower.run()))
         self._parts.store.when_back = self._renew_feeds
+        self._parts.store.when_failed = self._note_outage
         for loop in self._loops:
             loop.start()
         logs.note('started', host=chosen.host, owner=self._owner)
@@ -253,10 +254,17 @@
         state_now = status.describe(self._host, len(self._front.under_way))
         return server.Answer(codec.encode(state_now))
 
+    def _note_outage(self) -> None:
+        host = self._host
+        host.knowledge.directory.note_outage(host.now())
+
     def _renew_feeds(self) -> None:
         logs.note('store_back')
+        self._note_outage()
+        now = self._host.now()
         for follower in self._followers:
-            follower.renew()
+            # The answer that told of it may be this follower's own.
+            self._reactor.callLater(0, follower.renew, now)
 
     def _is_ready(self) -> bool:
         return self._host.knowledge.is_ready() and not self._host.leaving
--- a/src/cairnloom/platform/store.py
+++ b/src/cairnloom/platform/store.py
@@ -77,6 +77,7 @@
         # How far the store's clock is ahead of this host's steady one.
         self.ahead: float | None = None
         self.when_back: Callable[[], None] = lambda: None
+        self.when_failed: Callable[[], None] = lambda: None
         self.answers = True
         self._base = 'http://%s:%d' % (at.host, at.port)
         self.reads = 0
@@ -206,10 +207,13 @@
             )
         except exceptions.TransportError as fault:
             self.answers = False
+            self.when_failed()
             raise exceptions.PlatformError(
                 'store: %s' % fault, fault.sent
             ) from fault
         refused = reply.status in (429, 503)
+        if refused:
+            self.when_failed()
         if not self.answers and not refused:
             self.answers = True
             self.when_back()
--- a/src/cairnloom/standins/atlas.py
+++ b/src/cairnloom/standins/atlas.py
@@ -47,6 +47,15 @@
         self._version = 0
         self.when_changed: list[Callable[[], None]] = []
 
+    def behave(self, mode: str) -> None:
+        """Be ``up``, or ``busy``, ``reset`` or ``silent`` from now on.
+
+        Calls that wait for changes are answered once the store is up; those
+        that come while it is silent never are.
+        """
+        self.mode = mode
+        self._tell()
+
     def put(self, table: str, key: str, value: bytes | None) -> None:
         """Write a row as the operator or an endpoint does."""
         self._version += 1
@@ -322,7 +331,11 @@
         query = request.query()
         found = self._store.changes(query['Table'], int(query['after']))
         waited = self.reactor.seconds() - began
-        if found is None:
+        if self._store.mode != 'up':
+            self._store.when_changed.append(
+                lambda: self._follow(request, began)
+            )
+        elif found is None:
             request.reply(GONE)
         elif found or waited * 1000 >= int(query['WaitMs']):
             request.reply(200, self._store.body_of(found))
--- a/tests/atlas_world.py
+++ b/tests/atlas_world.py
@@ -152,6 +152,10 @@
         self._ports.append(port)
         return port.getHost().port
 
+    def behave(self, mode):
+        """Let the store behave in a mode from now on."""
+        in_reactor(self.store.behave, mode)
+
     def configure(self, fields):
         """Write a configuration as the operator does."""
         in_reactor(self.store.put, 'op', 'config', orjson.dumps(fields))
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -88,13 +88,13 @@
 def test_host_without_configuration_says_not_run(world):
     one = desk()
     system = world(one, start=False)
-    system.store.mode = 'busy'
+    system.behave('busy')
     started = system.start_host('host-1', ready=False)
     answer = system.call('/safe/')
     assert answer.status == 503
     assert float(answer.headers['retry-after']) > 0
     assert system.probe(started) == 503
-    system.store.mode = 'up'
+    system.behave('up')
     atlas_world.wait_for(lambda: system.probe(started) == 200)
     assert system.call('/safe/').status == 200
 
@@ -320,7 +320,7 @@
     atlas_world.wait_for(
         lambda: system.store.keys('cairnloom').count('hosts/host-1')
     )
-    system.store.mode = 'busy'
+    system.behave('busy')
     second = system.start_host('host-2', ready=False)
     assert system.probe(second) == 503
     host, port = first.address('internal')
@@ -362,11 +362,16 @@
 def test_feed_that_an_outage_swallowed_is_asked_anew(world):
     system = world(desk())
     time.sleep(0.1)
-    system.store.mode = 'silent'
-    # Ends the waiting calls; those that follow are never answered.
-    system.configure(atlas_world.configuration(2))
+
+    def answer_and_fall_silent():
+        written = orjson.dumps(atlas_world.configuration(2))
+        system.store.put('op', 'config', written)
+        system.store.mode = 'silent'
+
+    # The calls that follow this answer are never answered.
+    atlas_world.in_reactor(answer_and_fall_silent)
     time.sleep(2.0)
-    system.store.mode = 'up'
+    system.behave('up')
     came_back = time.monotonic()
     teams = [{'Name': 'other', 'ApiKeys': ['k']}]
     system.configure(atlas_world.configuration(3, Tenants=teams))
@@ -409,3 +414,29 @@
     assert dumped['configuration'] == 1
     assert {item['name'] for item in dumped['endpoints']} == {'d1', 'w1'}
     assert atlas_world.KEY not in system.admin('/state').body.decode()
+
+
+def test_entry_that_lapses_in_an_outage_is_kept_until_after_it(world):
+    one = desk()
+    system = world(one)
+    time.sleep(0.1)
+    system.behave('silent')
+    # A call that renews the lease fails within this time.
+    time.sleep(3.0)
+    # Only the feed of endpoints still waits when the store comes back.
+    atlas_world.in_reactor(system.programs[0]._tasks[0].cancel)
+    atlas_world.in_reactor(system.store.put, 'servers', 'd1', None)
+    system.behave('up')
+    time.sleep(0.5)
+    assert system.call('/safe/').status == 200
+    atlas_world.wait_for(lambda: system.call('/safe/').status == 503, 8.0)
+
+
+def test_failed_call_keeps_entries_that_go_missing(world):
+    system = world(desk())
+    time.sleep(0.1)
+    atlas_world.in_reactor(system.programs[0]._parts.store.when_failed)
+    atlas_world.in_reactor(system.store.put, 'servers', 'd1', None)
+    time.sleep(0.5)
+    assert system.call('/safe/').status == 200
+    atlas_world.wait_for(lambda: system.call('/safe/').status == 503, 4.0)
