--- a/src/cairnloom/operator/commands.py
+++ b/src/cairnloom/operator/commands.py
@@ -65,7 +65,15 @@
     path: str
 
 
-Command = Change | List | Status | Dump | Drain | Apply
+@dataclasses.dataclass(frozen=True)
+class Explain:
+    """Tell what happened to a request, from log files."""
+
+    request: str
+    paths: tuple[str, ...]
+
+
+Command = Change | List | Status | Dump | Drain | Apply | Explain
 
 USAGE = """commands:
   class put NAME --model M --first_token S [--between_tokens S] [--share F]
@@ -76,6 +84,7 @@
   route drop PREFIX | route list
   apply FILE [--dry_run]
   status | dump | drain
+  explain REQUEST_ID FILE...
 
 exit status: 0 done, 1 refused, 2 wrong usage, 3 another change came before,
 4 not reachable or no answer from the table, 5 written but not yet confirmed
@@ -92,6 +101,8 @@
             return Dump()
         case ['drain']:
             return Drain()
+        case ['explain', request, _, *_]:
+            return Explain(request, tuple(words[2:]))
         case ['apply', path]:
             return Apply(path)
         case [('class' | 'team' | 'key' | 'route') as kind, 'list']:
--- a/src/cairnloom/operator/program.py
+++ b/src/cairnloom/operator/program.py
@@ -18,9 +18,11 @@
 from ..protocol import client
 from ..protocol import codec
 from ..protocol import messages
+from ..runtime import clock
 
 from . import commands
 from . import differences
+from . import stories
 from . import views
 
 EXIT_REFUSED = 1
@@ -127,6 +129,23 @@
             return 0
         case commands.Apply(path=path):
             return await _apply(path, session)
+        case commands.Explain():
+            return _explain(command)
+
+
+def _explain(command: commands.Explain) -> int:
+    events = []
+    for path in command.paths:
+        try:
+            events.extend(stories.read_events(pathlib.Path(path)))
+        except OSError as fault:
+            raise exceptions.OperatorError(str(fault)) from fault
+    lines = stories.explain(command.request, events)
+    if not lines:
+        print('no line names %s' % command.request, file=sys.stderr)
+        return EXIT_REFUSED
+    print('\n'.join(lines))
+    return 0
 
 
 async def _change(command: commands.Change, session: Session) -> int:
@@ -247,7 +266,7 @@
     except exceptions.OperatorError as fault:
         print('%s\n\n%s' % (fault, commands.USAGE), file=sys.stderr)
         sys.exit(EXIT_USAGE)
-    task.react(_execute, [command])
+    task.react(_execute, [command], _reactor=clock.install())
 
 
 def _execute(reactor: Any, command: commands.Command) -> defer.Deferred[None]:
