Stop following when a host ends; run files of tests side by side

A test counts the store's calls after an end and fails without the change.

test_fault_in_admin_call_is_answered looked for a log line before the thread that reads the pipe could have it; it now waits for the line, 10 s at most.

make test runs four files at a time (pytest-xdist).

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+# Files of tests that run side by side; those of processes wait a lot.
+WORKERS ?= 4
 
 .PHONY: setup run demo test check format bench bench-control \
     bench-policy capacity fuzz clean
@@ -15,7 +17,7 @@
 	touch $@
 
 test: setup
-	$(BIN)/pytest
+	$(BIN)/pytest -n $(WORKERS) --dist loadfile
 
 check: setup
 	$(BIN)/black --check -q src tests bench scripts deploy
--- a/src/cairnloom/entry/knowledge.py
+++ b/src/cairnloom/entry/knowledge.py
@@ -138,13 +138,14 @@
         self._version: int | None = None
         self._pause = FIRST_PAUSE_SECONDS
         self._failed = False
+        self._stopped = False
         self._asked_at = float('-inf')
         self._waiting: defer.Deferred[Update | None] | None = None
         knowledge.reachable[source.name] = False
 
     async def run(self) -> None:
         """Read and follow, again and again."""
-        while True:
+        while not self._stopped:
             try:
                 await self._round()
                 self._note(True)
@@ -155,6 +156,12 @@
                 self._pause = min(LONGEST_PAUSE_SECONDS, 2 * self._pause)
                 await task.deferLater(self._reactor, wait, lambda: None)
 
+    def stop(self) -> None:
+        """Follow no longer."""
+        self._stopped = True
+        if self._waiting is not None:
+            self._waiting.cancel()
+
     def renew(self, before: float) -> None:
         """Ask anew if the call under way was sent before a time.
 
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -164,7 +164,6 @@
         ]
         self._ports: dict[str, Any] = {}
         self._followers: list[knowledge.Follower] = []
-        self._tasks: list[defer.Deferred[None]] = []
 
     async def start(self) -> None:
         """Open listeners and begin all tasks."""
@@ -192,7 +191,7 @@
                 self._reactor, source, self._host.knowledge
             )
             self._followers.append(follower)
-            self._tasks.append(knowledge.start(follower.run()))
+            knowledge.start(follower.run())
         self._parts.store.when_back = self._renew_feeds
         self._parts.store.when_failed = self._note_outage
         for loop in self._loops:
@@ -208,8 +207,8 @@
         """End at once, as a process does that is killed."""
         for loop in self._loops:
             loop.stop()
-        for running in self._tasks:
-            running.cancel()
+        for follower in self._followers:
+            follower.stop()
         for port in self._ports.values():
             port.stopListening()
         self._listener.close_all()
@@ -230,6 +229,8 @@
             self._listener.close_idle()
         for loop in self._loops:
             loop.stop()
+        for follower in self._followers:
+            follower.stop()
         await self._flush()
         await self._leadership.release()
         host.upstream.close()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -255,8 +255,11 @@
     url = system.admin('host-1') + '/peer/deltas?after=nonsense'
     status, _, _ = processes.call(url, timeout=5)
     assert status == 500
-    assert any(
-        'call_fault' in line for line in system.gateways['host-1'].lines
+    # The line comes through a pipe that another thread reads.
+    processes.until(
+        lambda: any(
+            'call_fault' in line for line in system.gateways['host-1'].lines
+        )
     )
 
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -424,7 +424,7 @@
     # A call that renews the lease fails within this time.
     time.sleep(3.0)
     # Only the feed of endpoints still waits when the store comes back.
-    atlas_world.in_reactor(system.programs[0]._tasks[0].cancel)
+    atlas_world.in_reactor(system.programs[0]._followers[0].stop)
     atlas_world.in_reactor(system.store.put, 'servers', 'd1', None)
     system.behave('up')
     time.sleep(0.5)
@@ -440,3 +440,14 @@
     time.sleep(0.5)
     assert system.call('/safe/').status == 200
     atlas_world.wait_for(lambda: system.call('/safe/').status == 503, 4.0)
+
+
+def test_host_that_ended_leaves_nothing_running(world):
+    system = world(desk())
+    time.sleep(0.1)
+    atlas_world.in_reactor(system.programs[0].abandon)
+    time.sleep(0.3)
+    calls = system.store.calls
+    atlas_world.in_reactor(system.store.put, 'servers', 'd1', None)
+    time.sleep(1.0)
+    assert system.store.calls == calls
--- /dev/null
+++ b/tests/test_locks.py
@@ -0,0 +1,18 @@
+"""The lock of the deployment and the one of the developers agree."""
+
+import pathlib
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+def read(path):
+    return set((ROOT / path).read_text().split())
+
+
+def test_deployment_installs_what_was_tested():
+    assert read('deploy/requirements.lock') <= read('requirements.lock')
+
+
+def test_deployment_installs_no_tools():
+    names = {line.split('==')[0] for line in read('deploy/requirements.lock')}
+    assert not names & {'black', 'mypy', 'pytest', 'hypothesis', 'openai'}
