--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -59,6 +59,8 @@
 CONNECTION_BACKLOG = 512
 # The balancer takes a host out after two probes, a second apart.
 LEAVING_SECONDS = 2.5
+# How often a leaving host looks whether all is answered.
+DRAIN_POLL_SECONDS = 0.05
 # Kept for the last answers' way out before the platform ends the process.
 END_SECONDS = 0.7
 
@@ -222,19 +224,25 @@
         self._listener.begin_closing()
         await self._sleep(LEAVING_SECONDS)
         self._ports['callers'].stopListening()
-        self._listener.close_idle()
         end = began + self._settings.bounds.grace - END_SECONDS
-        while self._front.under_way and host.now() < end:
-            await self._sleep(0.05)
-            self._listener.close_idle()
+        await self._drain(end)
         for loop in self._loops:
             loop.stop()
         for follower in self._followers:
             follower.stop()
         await self._flush()
         await self._leadership.release()
+        # What was on its way when its connection was to be closed.
+        await self._drain(end)
         host.upstream.close()
 
+    async def _drain(self, end: float) -> None:
+        while self._host.now() < end:
+            self._listener.close_idle()
+            if not self._front.under_way and not self._listener.channels:
+                return
+            await self._sleep(DRAIN_POLL_SECONDS)
+
     def _listen(self, name: str, at: settings.Address, factory: Any) -> None:
         self._ports[name] = self._reactor.listenTCP(
             at.port, factory, backlog=CONNECTION_BACKLOG, interface=at.host
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,6 +6,7 @@
 import atlas_world
 import orjson
 import pytest
+from twisted.internet import defer
 
 from cairnloom.standins import atlas
 
@@ -339,19 +340,48 @@
         assert system.call('/safe/').body == b'd2 '
 
 
-def test_leaving_host_serves_on_and_closes_after_answers(world):
-    one = desk()
-    system = world(one, start=False)
-    started = system.start_host('host-1', grace=5.0)
-    leaving = []
+def leave(started):
+    """Let a host leave; the list that is returned fills when it has."""
+    left = []
 
     def stop():
-        from twisted.internet import defer
-
         done = defer.Deferred.fromCoroutine(started.stop())
-        done.addCallback(leaving.append)
+        done.addCallback(left.append)
 
     atlas_world.in_reactor(stop)
+    return left
+
+
+def test_leaving_host_answers_what_crossed_the_close(world, monkeypatch):
+    monkeypatch.setattr(atlas, 'EVENT_SECONDS', 0.3)
+    limits = {'HeaderTimeoutMs': 6000, 'IdleTimeoutMs': 9000}
+    system = world(engine('w1', 'decode'), start=False, Limits=limits)
+    started = system.start_host('host-1', grace=9.0)
+    head = (
+        'GET /chat/x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: x\r\n'
+        'Authorization: Bearer %s\r\nAccept: text/event-stream\r\n'
+        'Model: m\r\nToken-Count: 10,5\r\n'
+    ) % (atlas_world.HOST, atlas_world.KEY)
+    address = started.address('callers')
+    with socket.create_connection(address, timeout=6) as connection:
+        connection.sendall(head.encode())
+        time.sleep(0.1)
+        left = leave(started)
+        # The balancer has been given its time, and all else is closed.
+        time.sleep(3.0)
+        connection.sendall(b'\r\n')
+        time.sleep(1.0)
+        assert not left
+        received = atlas_world.read_all(connection)
+    assert received.endswith(b'0\r\n\r\n')
+    atlas_world.wait_for(lambda: left, 3.0)
+
+
+def test_leaving_host_serves_on_and_closes_after_answers(world):
+    one = desk()
+    system = world(one, start=False)
+    started = system.start_host('host-1', grace=5.0)
+    leaving = leave(started)
     assert system.probe(started) == 503
     answer = system.call('/safe/')
     assert answer.status == 200
