Use one producer of request bodies; remove what nothing calls

entry/upstream.py held a copy of the client's producer of bodies in memory; both now use BytesProducer. Gone: a protocol class and two callbacks without a caller. Behaviour as before: black, flake8, mypy, test_entry and test_platform pass; the whole suite was not run again on this commit.

--- a/src/cairnloom/entry/knowledge.py
+++ b/src/cairnloom/entry/knowledge.py
@@ -62,7 +62,6 @@
         self.directory = instances.Directory()
         self.reachable: dict[str, bool] = {}
         self.when_gone: Callable[[instances.Instance], None] = lambda _: None
-        self.when_configured: Callable[[], None] = lambda: None
 
     @property
     def limits(self) -> routes.CallerLimits:
@@ -118,7 +117,6 @@
             routes=len(table.routes),
             teams=len(table.teams),
         )
-        self.when_configured()
 
 
 class Follower:
@@ -129,12 +127,10 @@
         reactor: Any,
         source: Source,
         knowledge: Knowledge,
-        when_read: Callable[[Update], None] = lambda _: None,
     ) -> None:
         self._reactor = reactor
         self._source = source
         self._knowledge = knowledge
-        self._when_read = when_read
         self._version: int | None = None
         self._pause = FIRST_PAUSE_SECONDS
         self._failed = False
@@ -182,7 +178,6 @@
             update = followed
         self._version = update.version
         self._knowledge.take(update, self._reactor.seconds())
-        self._when_read(update)
 
     async def _follow(self, version: int) -> Update | None:
         self._asked_at = self._reactor.seconds()
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -7,7 +7,6 @@
 import time
 from typing import Any
 from typing import Callable
-from typing import Protocol
 import uuid
 
 from twisted.internet import defer
@@ -65,12 +64,6 @@
 END_SECONDS = 0.7
 
 
-class Store(Protocol):
-    """The platform's store, as far as this program calls it itself."""
-
-    ahead: float | None
-
-
 @dataclasses.dataclass(frozen=True)
 class Parts:
     """What a platform's adapter gives the program."""
--- a/src/cairnloom/entry/upstream.py
+++ b/src/cairnloom/entry/upstream.py
@@ -16,10 +16,9 @@
 from twisted.web import _newclient
 from twisted.web import client
 from twisted.web import http_headers
-from twisted.web import iweb
-from zope.interface import implementer
 
 from .. import exceptions
+from ..protocol import client as http_client
 from ..protocol import sockets
 from ..routing import instances
 
@@ -91,28 +90,6 @@
             self.transport.abortConnection()
 
 
-@implementer(iweb.IBodyProducer)
-class _Body:
-    """Write a body that is held in memory."""
-
-    def __init__(self, body: bytes) -> None:
-        self.length = len(body)
-        self._body = body
-
-    def startProducing(self, consumer: Any) -> defer.Deferred[None]:
-        consumer.write(self._body)
-        return defer.succeed(None)
-
-    def pauseProducing(self) -> None:
-        pass
-
-    def resumeProducing(self) -> None:
-        pass
-
-    def stopProducing(self) -> None:
-        pass
-
-
 class _Receiver(protocol.Protocol):
     """Hand on the pieces of one body, and how it ended."""
 
@@ -228,7 +205,7 @@
             call.method,
             call.target,
             call.headers,
-            _Body(call.body) if call.body or call.method == b'POST' else None,
+            _make_body(call),
             persistent=True,
         )
         try:
@@ -327,6 +304,12 @@
         connection.when_lost = lambda lost: _discard(kept, lost)
 
 
+def _make_body(call: Call) -> http_client.BytesProducer | None:
+    if call.body or call.method == b'POST':
+        return http_client.BytesProducer(call.body)
+    return None
+
+
 def _discard(
     kept: collections.deque[_Connection], connection: _Connection
 ) -> None:
--- a/src/cairnloom/protocol/client.py
+++ b/src/cairnloom/protocol/client.py
@@ -94,7 +94,7 @@
 
 
 @implementer(iweb.IBodyProducer)
-class _BytesProducer:
+class BytesProducer:
     """Write a body that is held in memory."""
 
     def __init__(self, body: bytes) -> None:
@@ -204,7 +204,7 @@
         :class:`~cairnloom.exceptions.TransportError`.
         """
         agent = self._fresh if fresh else self._kept
-        producer: Any = _BytesProducer(body) if body else None
+        producer: Any = BytesProducer(body) if body else None
         pending = agent.request(
             method.encode(),
             url.encode(),
