Run tests side by side one by one, six at a time

Cause of a slow suite: files of tests were kept together, so the 25 tests of processes in one file took turns. Each waits most of its time for programs to start. Ruled out: sharing the programs of a test between tests, which would let one failure leak into the next.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 # Files of tests that run side by side; those of processes wait a lot.
-WORKERS ?= 4
+WORKERS ?= 6
 
 .PHONY: setup run demo test check format bench bench-control \
     bench-policy capacity fuzz clean
@@ -17,7 +17,7 @@
 	touch $@
 
 test: setup
-	$(BIN)/pytest -n $(WORKERS) --dist loadfile
+	$(BIN)/pytest -n $(WORKERS) --dist worksteal
 
 check: setup
 	$(BIN)/black --check -q src tests bench scripts deploy
