Place all model work at one hub; let hubs follow the store for all hosts

And each host placed prompts with what the others had told up to a second before.

Now three hubs (one for 32 hosts if that is more), the strongest and longest running hosts in different failure domains, follow the store; each host asks one of them every 0.25 s for what changed. A host that hears of no hub in touch for 1 s follows the store itself. The first hub places the model work of all hosts, told by notes what became of it; a host that does not reach it within 0.1 s places alone. Hubs write the usage of many hosts in one transaction and compete for the lease. The home of a prompt is decided by its last shared part: four large parts that most prompts begin with had made four homes for all.

Smaller copies of a request between hosts were not the cost; the number of calls was.

--- a/src/cairnloom/coordination/rows.py
+++ b/src/cairnloom/coordination/rows.py
@@ -22,11 +22,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Write:
-    """A row to write, if it still has the version that is expected."""
+    """A row to write, if it still has the version that is expected.
+
+    The value None removes the row.
+    ``write_id`` is set where the transaction joins those of several writers;
+    else the row gets the transaction's.
+    """
 
     key: str
     value: Any
     expected_version: int
+    write_id: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/entry/duties.py
+++ b/src/cairnloom/entry/duties.py
@@ -73,7 +73,7 @@
             self.rest()
             return
         host = self._host
-        await self._reporter.work(host.now() + host.clock_offset, proof)
+        await self._reporter.work(host.now() + host.clock.offset, proof)
         table = host.knowledge.table
         if table is None or not host.knowledge.directory.loaded:
             return
--- a/src/cairnloom/entry/front.py
+++ b/src/cairnloom/entry/front.py
@@ -11,6 +11,7 @@
 
 from . import forwarding
 from . import listener
+from . import requests
 from . import state
 
 # A host that starts knows its configuration within this time.
@@ -55,9 +56,10 @@
         service: routes.Service,
         team: routes.Team | None,
     ) -> None:
-        forwarded = forwarding.Forwarding(
+        request = requests.Request(
             self._host, caller, asked, route, service, team
         )
+        forwarded = forwarding.Forwarding(request)
         self.under_way.add(forwarded)
         done = forwarded.start()
         done.addBoth(lambda _: self.under_way.discard(forwarded))
--- a/src/cairnloom/entry/knowledge.py
+++ b/src/cairnloom/entry/knowledge.py
@@ -1,7 +1,7 @@
-"""What a host knows: configuration, endpoints, and the other hosts.
+"""What a host knows: the configuration and the endpoints.
 
-Follows the store's feeds; where the store does not answer this host, asks
-peers. Versions never go back within a process.
+Fed by the store's feeds where this host follows them, and by what hubs tell.
+Versions never go back within a process.
 """
 
 import dataclasses
@@ -21,17 +21,19 @@
 # A failed call to the store is repeated after this time, doubled each time.
 FIRST_PAUSE_SECONDS = 0.2
 LONGEST_PAUSE_SECONDS = 2.0
-# How often peers are asked while the store does not answer.
-PEER_PERIOD_SECONDS = 0.5
+# How long a feed rests after changes, which often come together.
+GATHER_SECONDS = 0.2
+# For so long an answer of a hub in touch with the store counts as news.
+TOLD_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
 class Update:
     """Rows of one source that changed, decoded.
 
-    ``table`` is set where the configuration is among them, ``document`` is
-    its encoding; ``whole`` tells that instances which are not named are
-    missing.
+    ``version`` is the store's. ``table`` is set where the configuration is
+    among them, ``document`` is its encoding; ``whole`` tells that instances
+    which are not named are missing.
     """
 
     version: int
@@ -41,6 +43,20 @@
     whole: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class Told:
+    """What another host knows of endpoints, as of a version of the store.
+
+    ``loaded`` tells that it knows them at all. With ``whole`` the changes are
+    all entries there are.
+    """
+
+    loaded: bool
+    version: int
+    whole: bool
+    changes: list[instances.Change]
+
+
 class Source(Protocol):
     """Where the configuration or the endpoints are followed."""
 
@@ -54,13 +70,17 @@
 
 
 class Knowledge:
-    """The state that the sources feed."""
+    """The state that the sources and hubs feed.
+
+    ``told_at`` is when a hub in touch with the store was last asked.
+    """
 
     def __init__(self) -> None:
         self.table: routes.RoutingTable | None = None
         self.document = b''
         self.directory = instances.Directory()
         self.reachable: dict[str, bool] = {}
+        self.told_at = float('-inf')
         self.when_gone: Callable[[instances.Instance], None] = lambda _: None
 
     @property
@@ -72,38 +92,75 @@
         """Tell whether requests can be served."""
         return self.table is not None and self.directory.loaded
 
-    def is_fresh(self) -> bool:
+    def is_direct(self) -> bool:
         """Tell whether the store answers this host."""
         return bool(self.reachable) and all(self.reachable.values())
 
-    def take(self, update: Update, now: float, trusted: bool = False) -> None:
-        """Take what a source or a peer told.
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether the store answers this host, or a hub of late."""
+        return self.is_direct() or now - self.told_at < TOLD_SECONDS
 
-        What is missing from a ``trusted`` update is gone, also while the
-        store does not answer this host.
-        """
+    def engine_memory(self, service: str) -> int:
+        """Return the memory of a service's engines, in tokens."""
+        found = self.table.services.get(service) if self.table else None
+        return found.engine.memory_tokens if found and found.engine else 0
+
+    def take(self, update: Update, now: float) -> None:
+        """Take what a source told."""
         if update.table is not None:
             self._configure(update.table, update.document)
         if update.whole:
-            self.directory.replace(list(update.changes), now, trusted)
+            self.directory.replace(list(update.changes), now, update.version)
             return
         for change in update.changes:
             if self.directory.apply(change, now):
-                logs.note(
-                    'endpoint',
-                    name=change.name,
-                    version=change.version,
-                    state=change.instance and change.instance.state,
-                    role=change.instance and change.instance.role,
-                    domain=change.instance and change.instance.failure_domain,
-                    cheap=change.instance and change.instance.cheap,
-                )
+                _note_change(change)
+        if update.changes:
+            self.directory.note_version(update.version)
+
+    def tell(self, revision: int) -> Told:
+        """Tell another host what changed after a revision of the list."""
+        directory = self.directory
+        changes = directory.changes_since(revision)
+        whole = changes is None
+        if changes is None:
+            changes = directory.changes()
+        return Told(directory.loaded, directory.version, whole, changes)
+
+    def take_told(self, told: Told, now: float) -> None:
+        """Take what another host knows of endpoints."""
+        directory = self.directory
+        if told.whole:
+            gone = directory.replace(
+                list(told.changes), now, told.version, True
+            )
+            for instance in gone:
+                self._note_gone(instance)
+            directory.loaded = directory.loaded or told.loaded
+            return
+        for change in told.changes:
+            if change.instance is not None:
+                if directory.apply(change, now):
+                    _note_change(change)
+                continue
+            dropped = directory.drop(change.name, change.version)
+            if dropped is not None:
+                self._note_gone(dropped)
+        directory.note_version(told.version)
 
     def expire(self, now: float) -> None:
         """Drop endpoints that stayed missing."""
         for instance in self.directory.expire(now):
-            logs.note('endpoint_gone', name=instance.name)
-            self.when_gone(instance)
+            self._note_gone(instance)
+
+    def note_failure(self) -> None:
+        """Note that a call to the store failed, whoever made it."""
+        for name in self.reachable:
+            self.reachable[name] = False
+
+    def _note_gone(self, instance: instances.Instance) -> None:
+        logs.note('endpoint_gone', name=instance.name)
+        self.when_gone(instance)
 
     def _configure(self, table: routes.RoutingTable, document: bytes) -> None:
         old = self.table
@@ -119,8 +176,21 @@
         )
 
 
+def _note_change(change: instances.Change) -> None:
+    found = change.instance
+    logs.note(
+        'endpoint',
+        name=change.name,
+        version=change.version,
+        state=found and found.state,
+        role=found and found.role,
+        domain=found and found.failure_domain,
+        cheap=found and found.cheap,
+    )
+
+
 class Follower:
-    """Follow one source for as long as the process runs."""
+    """Follow one source for as long as this is wanted."""
 
     def __init__(
         self,
@@ -133,8 +203,11 @@
         self._knowledge = knowledge
         self._version: int | None = None
         self._pause = FIRST_PAUSE_SECONDS
+        self.longest_pause = LONGEST_PAUSE_SECONDS
         self._failed = False
         self._stopped = False
+        self._wanted = True
+        self._wake: defer.Deferred[None] | None = None
         self._asked_at = float('-inf')
         self._waiting: defer.Deferred[Update | None] | None = None
         knowledge.reachable[source.name] = False
@@ -142,33 +215,62 @@
     async def run(self) -> None:
         """Read and follow, again and again."""
         while not self._stopped:
+            if not self._wanted:
+                self._wake = defer.Deferred()
+                await self._wake
+                continue
             try:
                 await self._round()
                 self._note(True)
                 self._pause = FIRST_PAUSE_SECONDS
             except exceptions.CairnloomError as fault:
-                self._note(False, str(fault))
-                wait = self._pause * random.uniform(0.5, 1.0)
-                self._pause = min(LONGEST_PAUSE_SECONDS, 2 * self._pause)
-                await task.deferLater(self._reactor, wait, lambda: None)
+                if self._wanted:
+                    self._note(False, str(fault))
+                    await self._rest()
+            except defer.CancelledError:
+                if self._stopped:
+                    raise
+
+    def want(self, wanted: bool) -> None:
+        """Follow from now on, or rest."""
+        if wanted == self._wanted:
+            return
+        self._wanted = wanted
+        if wanted and self._wake is not None:
+            wake, self._wake = self._wake, None
+            wake.callback(None)
+        if not wanted:
+            self._version = None
+            self._knowledge.reachable[self._source.name] = False
+            if self._waiting is not None:
+                self._waiting.cancel()
 
     def stop(self) -> None:
         """Follow no longer."""
         self._stopped = True
+        self.want(True)
         if self._waiting is not None:
             self._waiting.cancel()
 
     def renew(self, before: float) -> None:
-        """Ask anew if the call under way was sent before a time.
+        """Read anew if the call under way was sent before a time.
 
         An outage may have swallowed it.
         """
         if self._waiting is not None and self._asked_at < before:
+            self._version = None
             self._waiting.cancel()
 
+    async def _rest(self) -> None:
+        wait = self._pause * random.uniform(0.5, 1.0)
+        self._pause = min(self.longest_pause, 2 * self._pause)
+        await task.deferLater(self._reactor, wait, lambda: None)
+
     async def _round(self) -> None:
         if self._version is None:
             update = await self._source.read()
+            if not self._wanted:
+                return
         else:
             followed = await self._follow(self._version)
             if followed is None:
@@ -178,6 +280,9 @@
             update = followed
         self._version = update.version
         self._knowledge.take(update, self._reactor.seconds())
+        if update.changes and not update.whole:
+            # Changes often come together; each call is paid for.
+            await task.deferLater(self._reactor, GATHER_SECONDS, lambda: None)
 
     async def _follow(self, version: int) -> Update | None:
         self._asked_at = self._reactor.seconds()
--- a/src/cairnloom/entry/listener.py
+++ b/src/cairnloom/entry/listener.py
@@ -33,6 +33,7 @@
         self.body: bytes = content.read()
         self.begun = False
         self.ended = False
+        self.status = 0
         self.when_gone: Callable[[], None] = lambda: None
 
     @property
@@ -45,6 +46,7 @@
         if self.gone or self.ended:
             return
         self.begun = True
+        self.status = status
         self._request.setResponseCode(status)
         for name, value in headers:
             self._request.responseHeaders.addRawHeader(name, value)
--- /dev/null
+++ b/src/cairnloom/entry/messages.py
@@ -0,0 +1,99 @@
+"""What hosts say to each other, as JSON over HTTP.
+
+Nothing here carries authority: leases are renewed with the store alone.
+"""
+
+import dataclasses
+
+from ..coordination import rows
+from ..routing import desk
+from ..routing import exchange
+from ..routing import quarantine
+
+from . import knowledge
+from . import members
+
+# Paths of the internal listener.
+SYNC = '/sync'
+PLACE = '/place'
+NOTES = '/notes'
+ROWS = '/rows'
+TRANSACTIONS = '/transactions'
+
+
+@dataclasses.dataclass(frozen=True)
+class SyncRequest:
+    """Ask a hub for what changed.
+
+    ``directory`` and ``hosts`` are the revisions of the hub's lists that the
+    asker has, -1 for none. A hub that asks another tells whom it ``heard`` of
+    directly and the ``load`` that it placed.
+    """
+
+    me: members.HostRow
+    configuration: int
+    directory: int = -1
+    hosts: int = -1
+    marks: list[quarantine.Mark] = dataclasses.field(default_factory=list)
+    heard: list[members.Heard] = dataclasses.field(default_factory=list)
+    load: exchange.LoadMessage | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class SyncReply:
+    """What a host knows beyond what the asker has.
+
+    ``fresh`` tells that it is in touch with the store itself.
+    ``store_seconds`` is the store's clock at the reply and ``clock_ahead``
+    how far true time is ahead of it. ``rows`` is None where the list of hosts
+    has not changed.
+    """
+
+    owner: str
+    fresh: bool
+    document: str | None
+    directory: int
+    endpoints: knowledge.Told
+    hosts: int
+    rows: list[members.Heard] | None
+    marks: list[quarantine.Mark]
+    store_seconds: float | None = None
+    clock_ahead: float | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class PlaceRequest:
+    """Have model work placed."""
+
+    host: str
+    ask: desk.Ask
+
+
+@dataclasses.dataclass(frozen=True)
+class PlaceReply:
+    """Where it was placed, or why not."""
+
+    placement: desk.Placement | None = None
+    refused: desk.Refused | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Notes:
+    """What became of requests, in order."""
+
+    notes: list[desk.Note]
+
+
+@dataclasses.dataclass(frozen=True)
+class RowKey:
+    """Have a row read."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Written:
+    """How a relayed transaction ended."""
+
+    committed: rows.Committed | None = None
+    conflict: rows.Conflict | None = None
--- /dev/null
+++ b/src/cairnloom/entry/places.py
@@ -0,0 +1,113 @@
+"""Where this host has its model work placed.
+
+The first hub places the work of all hosts. A hub that does not answer at once
+is passed over, and the request is placed here with what this host knows.
+"""
+
+from typing import Any
+
+from .. import exceptions
+from ..routing import desk
+from ..runtime import logs
+
+from . import knowledge
+from . import members
+from . import messages
+from . import peers
+
+# A hub answers within a few milliseconds; no caller waits longer for one that
+# stands still.
+TIMEOUT_SECONDS = 0.1
+# Notes wait this long, so that several go in one call.
+GATHER_SECONDS = 0.03
+NOTE_TIMEOUT_SECONDS = 1.0
+
+
+class Places:
+    """Ask the hub that places, and tell it what became of requests."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        known: members.Members,
+        own: desk.Desk,
+        others: peers.Peers,
+    ) -> None:
+        self._reactor = reactor
+        self._members = known
+        self._desk = own
+        self._peers = others
+        self._placed_by: dict[str, members.HostRow] = {}
+        self._waiting: dict[str, list[desk.Note]] = {}
+
+    async def place(self, ask: desk.Ask) -> desk.Decision:
+        """Have a request placed."""
+        hub = self._choose()
+        before = self._placed_by.get(ask.request)
+        if before is not None and before != hub:
+            self.note(desk.Note(ask.request, 'ended'))
+        if hub is None:
+            return self._place_here(ask)
+        message = messages.PlaceRequest(self._members.me.host, ask)
+        try:
+            reply = await self._peers.call(
+                hub,
+                messages.PLACE,
+                message,
+                messages.PlaceReply,
+                TIMEOUT_SECONDS,
+            )
+        except exceptions.PlatformError as fault:
+            logs.note('hub_passed_over', hub=hub.host, reason=str(fault))
+            self._members.pass_over(hub.host, self._reactor.seconds())
+            return self._place_here(ask)
+        self._placed_by[ask.request] = hub
+        if reply.placement is not None:
+            return reply.placement
+        return reply.refused or desk.Refused('no engine')
+
+    def note(self, note: desk.Note) -> None:
+        """Tell what became of a request."""
+        hub = self._placed_by.get(note.request)
+        if note.kind == 'ended':
+            self._placed_by.pop(note.request, None)
+        if hub is None:
+            self._desk.note(note, self._reactor.seconds())
+            return
+        waiting = self._waiting.setdefault(hub.owner, [])
+        waiting.append(note)
+        if len(waiting) == 1:
+            self._reactor.callLater(GATHER_SECONDS, self._send, hub)
+
+    def _choose(self) -> members.HostRow | None:
+        """Return the hub that places, or None where that is this host."""
+        now = self._reactor.seconds()
+        for hub in self._members.hubs():
+            if hub.host == self._members.me.host:
+                return None
+            if not self._members.is_passed_over(hub, now):
+                return hub
+        return None
+
+    def _place_here(self, ask: desk.Ask) -> desk.Decision:
+        now = self._reactor.seconds()
+        return self._desk.place(self._members.me.host, ask, now)
+
+    def _send(self, hub: members.HostRow) -> None:
+        notes = self._waiting.pop(hub.owner)
+        knowledge.start(self._tell(hub, notes))
+
+    async def _tell(
+        self, hub: members.HostRow, notes: list[desk.Note]
+    ) -> None:
+        try:
+            await self._peers.call(
+                hub,
+                messages.NOTES,
+                messages.Notes(notes),
+                messages.Notes,
+                NOTE_TIMEOUT_SECONDS,
+            )
+        except exceptions.PlatformError as fault:
+            # The hub forgets these requests by itself.
+            logs.note('notes_lost', hub=hub.host, reason=str(fault))
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -4,7 +4,6 @@
 """
 
 import dataclasses
-import time
 from typing import Any
 from typing import Callable
 import uuid
@@ -18,6 +17,7 @@
 from ..protocol import client
 from ..protocol import codec
 from ..protocol import server
+from ..routing import desk
 from ..routing import exchange
 from ..routing import placing
 from ..routing import quarantine
@@ -28,12 +28,17 @@
 from ..runtime import programs
 from ..runtime import runner
 
+from . import clocks
 from . import duties
 from . import front
+from . import hubs
 from . import knowledge
 from . import listener
 from . import members
 from . import peers
+from . import places
+from . import registration
+from . import relay
 from . import reporting
 from . import settings
 from . import state
@@ -46,7 +51,7 @@
 LEASE_MARGIN_SECONDS = 1.0
 # No duty is begun with less of the lease left: a call may take as long.
 CALL_MARGIN_SECONDS = 1.3
-MEMBERS_SECONDS = 5.0
+REGISTRATION_SECONDS = 0.5
 DUTIES_SECONDS = 0.5
 # How often a rival looks at the lease.
 LEASE_POLL_SECONDS = 2.0
@@ -54,6 +59,9 @@
 # host that is killed loses little of it; each write is paid for.
 FLUSH_SECONDS = 1.5
 TIDY_SECONDS = 0.25
+# Where the store fails a host that is no hub, it asks again after up to this
+# time; hubs do so sooner and tell it.
+PATIENT_SECONDS = 5.0
 # Connections that wait to be accepted; beyond it they are dropped.
 CONNECTION_BACKLOG = 512
 # The balancer takes a host out after two probes, a second apart.
@@ -88,36 +96,67 @@
     ) -> None:
         self._reactor = reactor
         self._settings = chosen
-        self._http = client.HttpClient(reactor)
-        parts = connect(self._http)
+        http_client = client.HttpClient(reactor)
+        parts = connect(http_client)
         self._parts = parts
-        known = trackers.Trackers()
         self._owner = '%s.%s' % (chosen.host, uuid.uuid4().hex[:8])
+        self._members = members.Members(
+            members.HostRow(
+                host=chosen.host,
+                owner=self._owner,
+                address=chosen.internal.host,
+                port=chosen.internal.port,
+                failure_domain=chosen.failure_domain,
+                capacity=chosen.processor,
+            )
+        )
+        self._peers = peers.Peers(http_client)
+        known = trackers.Trackers()
+        placer = placing.Placer(known, chosen.failure_domain)
+        knows = knowledge.Knowledge()
+        load = exchange.LoadExchange(self._owner, known)
+        self._desk = desk.Desk(
+            known, placer, knows.directory.ready, knows.engine_memory
+        )
+        self._desk.when_read = load.note_parts
+        clock = clocks.SharedClock(reactor, lambda: parts.store.ahead)
         self._host = state.Host(
             settings=chosen,
             reactor=reactor,
             dialect=parts.dialect,
             engines=parts.engines,
-            knowledge=knowledge.Knowledge(),
+            knowledge=knows,
             upstream=upstream.Upstream(reactor, parts.read_idle),
             trackers=known,
-            placer=placing.Placer(known, chosen.failure_domain),
-            exchange=exchange.LoadExchange(chosen.host, known),
+            placer=placer,
+            exchange=load,
             quarantine=quarantine.Quarantine(chosen.host),
             book=usage.UsageBook(self._owner),
             metrics=metrics.Metrics(),
+            members=self._members,
+            clock=clock,
+            places=places.Places(
+                reactor, self._members, self._desk, self._peers
+            ),
         )
-        self._host.clock_offset = time.time() - reactor.seconds()
         self._runner = runner.Runner(parts.store, reactor)
-        self._peers = peers.Peers(
-            self._http,
-            chosen.internal.host,
-            chosen.internal.port,
-            chosen.seeds,
+        self._gathering = relay.GatheringTable(reactor, parts.store)
+        relayed: Any = relay.RelayedTable(
+            self._gathering, self._members, self._peers, reactor.seconds
         )
-        relayed: Any = peers.RelayedTable(parts.store, self._peers)
         self._relayed = runner.Runner(relayed, reactor)
-        self._members = members.Members(chosen.host, chosen.internal.host)
+        self._registration = registration.Registration(
+            self._members, self._note_start
+        )
+        self._hubs = hubs.Hubs(
+            self._host,
+            self._peers,
+            parts.decode_document,
+            [
+                members.HostRow(seed, '', seed, chosen.internal.port)
+                for seed in chosen.seeds
+            ],
+        )
         self._leadership = leadership.Leadership(
             leases.LeaseKeeper(
                 leases.LeaseSettings(
@@ -148,17 +187,16 @@
             reactor, self._front.serve, lambda: self._host.knowledge.limits
         )
         self._loops = [
-            programs.Loop(reactor, MEMBERS_SECONDS, self._meet),
+            programs.Loop(reactor, REGISTRATION_SECONDS, self._register),
+            programs.Loop(reactor, hubs.PERIOD_SECONDS, self._sync),
             programs.Loop(reactor, FLUSH_SECONDS, self._flush),
             programs.Loop(reactor, DUTIES_SECONDS, self._do_duties),
             programs.Loop(reactor, TIDY_SECONDS, self._tidy),
-            programs.Loop(
-                reactor, knowledge.PEER_PERIOD_SECONDS, self._ask_peers
-            ),
-            programs.Loop(reactor, exchange.PERIOD_SECONDS, self._tell_load),
         ]
         self._ports: dict[str, Any] = {}
         self._followers: list[knowledge.Follower] = []
+        self._following = True
+        self._hub_names: list[str] = []
 
     async def start(self) -> None:
         """Open listeners and begin all tasks."""
@@ -169,9 +207,7 @@
             self._reactor,
             chosen.internal.host,
             chosen.internal.port,
-            peers.handlers(
-                self._host.knowledge, self._parts.store, self._take_load
-            ),
+            hubs.handlers(self._hubs, self._host, self._desk, self._gathering),
         )
         self._ports['admin'] = server.listen(
             self._reactor,
@@ -179,7 +215,7 @@
             chosen.admin.port,
             {'/metrics': self._show_metrics, '/state': self._show_state},
         )
-        self._members.port = self._peers.port = self.address('internal')[1]
+        self._members.describe_me(port=self.address('internal')[1])
         self._host.knowledge.when_gone = self._forget
         for source in self._parts.sources:
             follower = knowledge.Follower(
@@ -187,7 +223,7 @@
             )
             self._followers.append(follower)
             knowledge.start(follower.run())
-        self._parts.store.when_back = self._renew_feeds
+        self._parts.store.when_back = self._note_return
         self._parts.store.when_failed = self._note_outage
         for loop in self._loops:
             loop.start()
@@ -214,6 +250,7 @@
         host = self._host
         began = host.now()
         host.leaving = True
+        self._members.describe_me(leaving=True)
         self._listener.begin_closing()
         await self._sleep(LEAVING_SECONDS)
         self._ports['callers'].stopListening()
@@ -246,7 +283,7 @@
         counted.gauge('under_way', len(self._front.under_way))
         counted.gauge('ready', self._is_ready())
         counted.gauge('hosts', host.hosts)
-        counted.gauge('store_answers', host.knowledge.is_fresh())
+        counted.gauge('store_answers', host.knowledge.is_fresh(host.now()))
         counted.gauge('store_reads', self._parts.store.reads)
         counted.gauge('store_writes', self._parts.store.writes)
         counted.gauge('connections_opened', host.upstream.opened)
@@ -257,16 +294,17 @@
         return server.Answer(codec.encode(state_now))
 
     def _note_outage(self) -> None:
-        host = self._host
-        host.knowledge.directory.note_outage(host.now())
+        """Look at once whether the store still answers the feeds."""
+        host, now = self._host, self._host.now()
+        host.knowledge.note_failure()
+        host.knowledge.directory.note_outage(now)
+        for follower in self._followers:
+            # The failure that told of it may be this follower's own.
+            self._reactor.callLater(0, follower.renew, now)
 
-    def _renew_feeds(self) -> None:
+    def _note_return(self) -> None:
         logs.note('store_back')
         self._note_outage()
-        now = self._host.now()
-        for follower in self._followers:
-            # The answer that told of it may be this follower's own.
-            self._reactor.callLater(0, follower.renew, now)
 
     def _is_ready(self) -> bool:
         return self._host.knowledge.is_ready() and not self._host.leaving
@@ -280,50 +318,63 @@
         self._host.knowledge.expire(now)
         self._host.quarantine.settle(now)
         self._host.upstream.expire()
+        self._desk.expire(now)
 
-    async def _meet(self) -> None:
-        host, store = self._host, self._parts.store
-        await self._runner.drive([members.read_all()], self._take_members)
+    async def _register(self) -> None:
+        known, now = self._registration, self._host.now()
+        await self._runner.drive(
+            known.begin(now),
+            lambda event: known.step(event, self._host.now()),
+        )
+        self._hubs.meet(known.strangers)
+        known.strangers = []
+
+    def _note_start(self) -> None:
+        started = self._host.clock.store_seconds(self._host.now())
+        known = self._members.me.since != members.UNKNOWN_START
+        if started is not None and not known:
+            self._members.describe_me(since=started)
+
+    async def _sync(self) -> None:
+        host, now = self._host, self._host.now()
+        self._note_start()
+        self._members.describe_me(clock_ahead=host.clock.own_view(now))
+        await self._hubs.work()
         now = host.now()
-        if store.ahead is None:
-            return
-        own = time.time() - (now + store.ahead)
-        await self._runner.drive([self._members.write(own)], lambda _: [])
-        live = self._members.live(now)
-        host.hosts = max(1, len(live))
-        agreed = self._members.clock_ahead(now, own)
-        host.clock_offset = agreed + store.ahead
-        self._peers.meet([(row.address, row.port) for row in live.values()])
-
-    async def _tell_load(self) -> None:
-        host = self._host
-        marks = host.quarantine.message(host.now())
-        message = host.exchange.message(host.hosts, host.now(), marks)
-        if message is not None:
-            self._peers.tell(message)
-
-    def _take_load(self, message: exchange.LoadMessage) -> None:
-        host = self._host
-        host.exchange.take(message, host.hosts, host.now())
-        host.quarantine.merge(message.marks, host.now())
-
-    async def _ask_peers(self) -> None:
-        host = self._host
-        decode = self._parts.decode_document
-        await peers.learn(host.knowledge, self._peers, decode, host.now())
-
-    def _take_members(self, event: Any) -> list[Any]:
-        found = getattr(event, 'rows', None)
-        if found is not None:
-            self._members.take(found, self._host.now())
-        return []
+        for name in self._members.expire(now):
+            logs.note('host_gone', name=name)
+            self._desk.forget_host(name)
+        host.hosts = self._members.highest_count(now)
+        if self._members.is_hub():
+            host.clock.agree(self._members.clock_ahead())
+        self._note_hubs()
+        self._follow(self._hubs.must_follow(now))
+
+    def _note_hubs(self) -> None:
+        names = [row.host for row in self._members.hubs()]
+        if names != self._hub_names:
+            self._hub_names = names
+            logs.note('hubs', hubs=names, hosts=self._members.count())
+
+    def _follow(self, wanted: bool) -> None:
+        if wanted != self._following:
+            self._following = wanted
+            logs.note('following', store=wanted, hub=self._members.is_hub())
+            self._hubs.forget()
+        longest = knowledge.LONGEST_PAUSE_SECONDS
+        if not self._members.is_hub():
+            longest = PATIENT_SECONDS
+        for follower in self._followers:
+            follower.longest_pause = longest
+            follower.want(wanted)
 
     async def _flush(self) -> None:
         book = self._host.book
         await self._relayed.drive(book.flush(), book.step)
 
     async def _do_duties(self) -> None:
-        await self._leadership.keep()
+        if self._following or self._leadership.authority() is not None:
+            await self._leadership.keep()
         await self._duties.work(self._authority)
 
     def _authority(self) -> leases.Authority | None:
--- a/src/cairnloom/entry/settings.py
+++ b/src/cairnloom/entry/settings.py
@@ -37,7 +37,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class HostSettings:
-    """All that one host is told at its start."""
+    """All that one host is told at its start; ``processor`` is in cores."""
 
     host: str
     failure_domain: str
@@ -51,5 +51,4 @@
     intake: Address
     duties: tuple[str, ...]
     bounds: Bounds
-    memory_bytes: int = 0
-    descriptors: int = 4096
+    processor: float = 1.0
--- a/src/cairnloom/entry/state.py
+++ b/src/cairnloom/entry/state.py
@@ -8,6 +8,7 @@
 
 from ..admission import budgets
 from ..coordination import usage
+from ..routing import desk
 from ..routing import exchange
 from ..routing import instances
 from ..routing import placing
@@ -16,7 +17,9 @@
 from ..routing import work
 from ..runtime import metrics
 
+from . import clocks
 from . import knowledge
+from . import members
 from . import settings
 from . import upstream
 
@@ -44,6 +47,16 @@
         """Write when a caller should come back."""
 
 
+class Places(Protocol):
+    """Where model work is placed."""
+
+    async def place(self, ask: desk.Ask) -> desk.Decision:
+        """Choose engines for a request."""
+
+    def note(self, note: desk.Note) -> None:
+        """Tell what became of a request."""
+
+
 class Engines(Protocol):
     """What engines take apart from callers' requests."""
 
@@ -69,9 +82,11 @@
     quarantine: quarantine.Quarantine
     book: usage.UsageBook
     metrics: metrics.Metrics
+    members: members.Members
+    clock: clocks.SharedClock
+    places: Places
     hosts: int = 1
     leaving: bool = False
-    clock_offset: float = 0.0
     retry_budgets: dict[str, budgets.SharedBudget] = dataclasses.field(
         default_factory=dict
     )
@@ -96,7 +111,7 @@
 
     def window(self, at: float) -> int:
         """Return the usage window of a steady time."""
-        true = at + self.clock_offset
+        true = at + self.clock.offset
         return int(true // self.settings.bounds.usage_window)
 
     def count_run(self, team: str, at: float) -> None:
--- a/src/cairnloom/entry/status.py
+++ b/src/cairnloom/entry/status.py
@@ -30,6 +30,7 @@
     configuration: int
     store_answers: bool
     hosts: int
+    hubs: list[str]
     leaving: bool
     under_way: int
     seconds_to_true_time: float
@@ -67,11 +68,12 @@
     return HostStatus(
         host.settings.host,
         table.version if table else 0,
-        host.knowledge.is_fresh(),
+        host.knowledge.is_fresh(now),
         host.hosts,
+        [row.host for row in host.members.hubs()],
         host.leaving,
         under_way,
-        host.clock_offset,
+        host.clock.offset,
         host.placer.rate,
         {
             name: budget.left(now, host.hosts)
--- a/src/cairnloom/entry/upstream.py
+++ b/src/cairnloom/entry/upstream.py
@@ -217,7 +217,7 @@
             raise exceptions.EndpointError('not sent', False) from fault
         except Exception as fault:
             connection.drop()
-            if _is_cancelled(fault):
+            if http_client.is_cancelled(fault):
                 raise defer.CancelledError() from fault
             raise exceptions.EndpointError(
                 _describe(fault), True, broken=True
@@ -317,12 +317,6 @@
         kept.remove(connection)
 
 
-def _is_cancelled(fault: BaseException) -> bool:
-    # The client wraps a cancellation like any other loss of the connection.
-    reasons = getattr(fault, 'reasons', ())
-    return any(reason.check(defer.CancelledError) for reason in reasons)
-
-
 def _describe(fault: BaseException) -> str:
     reasons = getattr(fault, 'reasons', None)
     if reasons:
--- a/src/cairnloom/platform/settings.py
+++ b/src/cairnloom/platform/settings.py
@@ -13,8 +13,6 @@
 PATH_VARIABLE = 'CAIRNLOOM_CONFIG'
 # Named in the deploy file too, since the platform reads metrics there.
 METRICS_PORT = 9464
-# The platform counts memory in binary megabytes.
-_MEGABYTE = 1024 * 1024
 
 
 class _Model(pydantic.BaseModel):
@@ -28,8 +26,10 @@
 
 
 class _Limits(_Model):
-    MemoryMb: float = 0
-    MaxFds: int = 4096
+    # The part of a core that the process gets, and how many times as fast
+    # as one such core is.
+    CpuShare: float = 1
+    Cores: float = 1
 
 
 class _Bounds(_Model):
@@ -102,8 +102,7 @@
         intake=parse_address(found.CloudApi.Address),
         duties=tuple(found.CloudApi.Duties),
         bounds=_read_bounds(found.Bounds),
-        memory_bytes=int(found.Limits.MemoryMb * _MEGABYTE),
-        descriptors=found.Limits.MaxFds,
+        processor=found.Limits.CpuShare * found.Limits.Cores,
     )
 
 
--- a/src/cairnloom/platform/store.py
+++ b/src/cairnloom/platform/store.py
@@ -237,12 +237,21 @@
         _name(write.key)
         | {
             'Value': base64.b64encode(
-                orjson.dumps({'v': write.value, 'id': transaction.write_id})
+                orjson.dumps(
+                    {
+                        'v': write.value,
+                        'id': write.write_id or transaction.write_id,
+                    }
+                )
             ).decode()
         }
         for write in transaction.writes
+        if write.value is not None
     ]
-    return {'ExpectedRev': expected, 'Put': puts, 'Remove': []}
+    removed = [
+        _name(write.key) for write in transaction.writes if write.value is None
+    ]
+    return {'ExpectedRev': expected, 'Put': puts, 'Remove': removed}
 
 
 def _name(key: str) -> dict[str, Any]:
--- a/src/cairnloom/protocol/client.py
+++ b/src/cairnloom/protocol/client.py
@@ -167,6 +167,22 @@
         return _WatchedProtocol(self._quiescentCallback)
 
 
+def is_cancelled(fault: BaseException) -> bool:
+    """Tell whether a call failed because it was cancelled.
+
+    The client wraps a cancellation like any other loss of the connection.
+    """
+    if isinstance(fault, defer.CancelledError):
+        return True
+    reasons = getattr(fault, 'reasons', ())
+    return any(reason.check(defer.CancelledError) for reason in reasons)
+
+
+def _give_up(pending: defer.Deferred[Any], late: list[bool]) -> None:
+    late.append(True)
+    pending.cancel()
+
+
 class HttpClient:
     """Send requests to other processes over kept or fresh connections."""
 
@@ -211,17 +227,23 @@
             headers,
             producer,
         )
-        pending.addTimeout(timeout, self._reactor)
+        late: list[bool] = []
+        timer = self._reactor.callLater(timeout, _give_up, pending, late)
         try:
             response = await pending
-        except defer.TimeoutError as fault:
-            raise exceptions.TransportError(
-                'no reply in time', True
-            ) from fault
         except Exception as fault:
+            if late:
+                raise exceptions.TransportError(
+                    'no reply in time', True
+                ) from fault
+            if is_cancelled(fault):
+                raise defer.CancelledError() from fault
             sent = not isinstance(fault, _NOT_SENT)
             reason = type(fault).__name__
             raise exceptions.TransportError(reason, sent, sent) from fault
+        finally:
+            if timer.active():
+                timer.cancel()
         return StreamedReply(response)
 
     async def exchange(
@@ -247,6 +269,9 @@
         except defer.TimeoutError as fault:
             reply.cancel()
             raise exceptions.TransportError('body too slow', True) from fault
+        except defer.CancelledError:
+            reply.cancel()
+            raise
         self.exchanges += 1
         self.exchanged_bytes += len(body) + len(content)
         return Reply(reply.status, content)
--- a/src/cairnloom/routing/exchange.py
+++ b/src/cairnloom/routing/exchange.py
@@ -1,28 +1,24 @@
-"""What hosts tell each other of the load that they put on endpoints.
+"""What hubs tell each other of the load that was placed on endpoints.
 
-Answers several hosts that each see a part of the traffic: reports of load are
-old when they come, so hosts would all choose the same endpoint. Each tells
-the others what it has under way, and which parts of prompts were read where.
+Answers the loss of the hub that places requests: the next one knows what is
+under way, and which parts of prompts were read where.
 """
 
 import dataclasses
 
-from . import quarantine
 from . import trackers
 from . import work
 
-# What a peer told counts for this many of its periods.
-STALE_PERIODS = 8.0
-# With more hosts each tells the others less often, so that the messages that
-# a host gets stay below a bound: the period grows with every such number.
-HOSTS_PER_PERIOD = 8
-PERIOD_SECONDS = 0.1
-PARTS_PER_MESSAGE = 64
+# What another hub told counts for this long.
+STALE_SECONDS = 1.0
+PARTS_PER_MESSAGE = 256
+# Whose newest message is remembered, so that an older one is not taken.
+OWNERS_KEPT = 64
 
 
 @dataclasses.dataclass(frozen=True)
 class EndpointLoad:
-    """What one host has under way at an endpoint.
+    """What one host has placed at an endpoint.
 
     ``pending`` holds prompt tokens by urgency.
     """
@@ -44,77 +40,55 @@
 class LoadMessage:
     """What one host tells the others; loads are complete, parts are new.
 
-    ``marks`` name requests that crashed endpoints.
+    ``owner`` names the start of the host's process.
     """
 
-    host: str
+    owner: str
     sequence: int
     loads: list[EndpointLoad]
     parts: list[PartsRead]
-    marks: list[quarantine.Mark] = dataclasses.field(default_factory=list)
 
 
 class LoadExchange:
     """Decide what to tell, and take what is told."""
 
-    def __init__(self, host: str, known: trackers.Trackers) -> None:
-        self._host = host
+    def __init__(self, owner: str, known: trackers.Trackers) -> None:
+        self._owner = owner
         self._trackers = known
         self._sequence = 0
         self._parts: list[PartsRead] = []
-        self._was_idle = True
-        self._next_at = float('-inf')
         self._heard: dict[str, int] = {}
 
     def note_parts(self, endpoint: str, parts: tuple[work.Part, ...]) -> None:
-        """Note that an engine has read a prompt of this host."""
+        """Note that an engine has read a prompt."""
         if len(self._parts) < PARTS_PER_MESSAGE:
             self._parts.append(PartsRead(endpoint, list(parts)))
 
-    def message(
-        self,
-        hosts: int,
-        now: float,
-        marks: list[quarantine.Mark] | None = None,
-    ) -> LoadMessage | None:
-        """Return what is to be told now, if anything."""
-        if now < self._next_at:
-            return None
-        self._next_at = now + period(hosts) - PERIOD_SECONDS / 2
+    def message(self) -> LoadMessage:
+        """Return what is to be told now."""
         loads = [
             EndpointLoad(name, tracker.running, dict(tracker.pending))
             for name, tracker in self._trackers.busy_ones()
         ]
-        idle = not loads and not self._parts and not marks
-        if idle and self._was_idle:
-            return None
-        self._was_idle = idle
         self._sequence += 1
         parts, self._parts = self._parts, []
-        return LoadMessage(
-            self._host, self._sequence, loads, parts, marks or []
-        )
+        return LoadMessage(self._owner, self._sequence, loads, parts)
 
-    def take(self, message: LoadMessage, hosts: int, now: float) -> None:
-        """Take what a peer tells."""
-        if message.host == self._host:
+    def take(self, message: LoadMessage, now: float) -> None:
+        """Take what another host tells."""
+        owner = message.owner
+        if message.sequence <= self._heard.get(owner, 0):
             return
-        # A host that has started anew counts from the start.
-        if 1 < message.sequence <= self._heard.get(message.host, 0):
-            return
-        self._heard[message.host] = message.sequence
-        until = now + STALE_PERIODS * period(hosts)
-        self._trackers.forget_peer(message.host)
+        self._heard.pop(owner, None)
+        self._heard[owner] = message.sequence
+        if len(self._heard) > OWNERS_KEPT:
+            del self._heard[next(iter(self._heard))]
+        self._trackers.forget_peer(owner)
         for load in message.loads:
             tracker = self._trackers.named(load.endpoint)
-            tracker.peers[message.host] = trackers.PeerLoad(
-                load.running, load.pending, until
+            tracker.peers[owner] = trackers.PeerLoad(
+                load.running, load.pending, now + STALE_SECONDS
             )
         for read in message.parts:
             tracker = self._trackers.named(read.endpoint)
             tracker.note_parts(tuple(read.parts))
-
-
-def period(hosts: int) -> float:
-    """Return how often a host tells the others, in seconds."""
-    return PERIOD_SECONDS * max(1.0, hosts / HOSTS_PER_PERIOD)
--- a/src/cairnloom/routing/instances.py
+++ b/src/cairnloom/routing/instances.py
@@ -4,11 +4,14 @@
 restart is a new instance even where it keeps its name.
 """
 
+import collections
 import dataclasses
 from typing import Literal
 
 # Entries that lapsed during an outage come back within this time.
 OUTAGE_GRACE_SECONDS = 2.0
+# Changes that are remembered for peers; who lags further behind is told all.
+CHANGES_KEPT = 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -71,45 +74,73 @@
         self._entries: dict[str, _Entry] = {}
         self._removed: dict[str, int] = {}
         self._trusted_from = float('-inf')
-        self.loaded = False
+        self._log: collections.deque[str] = collections.deque(
+            maxlen=CHANGES_KEPT
+        )
+        self.revision = 0
         self.version = 0
+        self.loaded = False
 
     def note_outage(self, now: float) -> None:
         """Note that the store can't be reached, or just came back."""
         self._trusted_from = now + OUTAGE_GRACE_SECONDS
 
+    def note_version(self, version: int) -> None:
+        """Note that all is known as of a version of the store."""
+        self.version = max(self.version, version)
+
     def apply(self, change: Change, now: float) -> bool:
         """Take one change; return whether anything changed."""
         known = self._entries.get(change.name)
         if known is not None and change.version < known.version:
             return False
-        if change.version < self._removed.get(change.name, 0):
+        if change.version <= self._removed.get(change.name, -1):
             return False
         if change.instance is None:
             self._removed[change.name] = change.version
             return self._miss(change.name, now)
         self._removed.pop(change.name, None)
         self._entries[change.name] = _Entry(change.instance, change.version)
-        return known is None or known.instance != change.instance
+        if known is None or known.instance != change.instance:
+            self._note_change(change.name)
+            return True
+        return False
 
     def replace(
-        self, changes: list[Change], now: float, trusted: bool = False
-    ) -> None:
-        """Take a whole listing; what it lacks has gone missing.
-
-        From a ``trusted`` listing it has gone for good.
+        self,
+        changes: list[Change],
+        now: float,
+        as_of: int,
+        trusted: bool = False,
+    ) -> list[Instance]:
+        """Take a whole listing as of a version of the store.
+
+        What it lacks has gone missing; from a ``trusted`` listing it has
+        gone for good, and is returned.
         """
         for change in changes:
             self.apply(change, now)
+        self.note_version(as_of)
         present = {change.name for change in changes}
-        for name in list(self._entries):
-            if name in present:
+        gone = []
+        for name, entry in list(self._entries.items()):
+            if name in present or entry.version > as_of:
                 continue
             if trusted:
-                del self._entries[name]
+                gone.append(entry.instance)
+                self._drop(name, as_of)
             else:
                 self._miss(name, now)
         self.loaded = True
+        return gone
+
+    def drop(self, name: str, version: int) -> Instance | None:
+        """Take from a host in touch that an entry is gone; return it."""
+        entry = self._entries.get(name)
+        if entry is None or version < entry.version:
+            return None
+        self._drop(name, version)
+        return entry.instance
 
     def expire(self, now: float) -> list[Instance]:
         """Drop entries that stayed missing; return them."""
@@ -118,13 +149,18 @@
             since = entry.missing_since
             if since is not None and now >= max(self._trusted_from, since):
                 gone.append(entry.instance)
-                del self._entries[name]
+                self._drop(name, entry.version)
         return gone
 
     def all(self) -> list[Instance]:
         """Return every instance that is not known to be gone."""
         return [entry.instance for entry in self._entries.values()]
 
+    def find(self, name: str) -> Instance | None:
+        """Return the instance with a name."""
+        entry = self._entries.get(name)
+        return entry.instance if entry else None
+
     def ready(self, service: str) -> list[Instance]:
         """Return the instances of a service that take new work."""
         return [
@@ -147,11 +183,21 @@
 
     def changes(self) -> list[Change]:
         """Return the view as changes, for a peer."""
-        return [
-            Change(name, entry.version, entry.instance)
-            for name, entry in self._entries.items()
-            if entry.missing_since is None
-        ]
+        return [self._describe(name) for name in sorted(self._entries)]
+
+    def changes_since(self, revision: int) -> list[Change] | None:
+        """Return what changed after a revision, or None if not known."""
+        count = self.revision - revision
+        if revision < 0 or not 0 <= count <= len(self._log):
+            return None
+        names = set(list(self._log)[len(self._log) - count :])
+        return [self._describe(name) for name in sorted(names)]
+
+    def _describe(self, name: str) -> Change:
+        entry = self._entries.get(name)
+        if entry is None:
+            return Change(name, self._removed.get(name, 0), None)
+        return Change(name, entry.version, entry.instance)
 
     def _miss(self, name: str, now: float) -> bool:
         entry = self._entries.get(name)
@@ -161,5 +207,16 @@
             if entry.missing_since is None:
                 entry.missing_since = now
             return False
-        del self._entries[name]
+        self._drop(name, entry.version)
         return True
+
+    def _drop(self, name: str, version: int) -> None:
+        del self._entries[name]
+        self._removed[name] = max(version, self._removed.get(name, version))
+        while len(self._removed) > CHANGES_KEPT:
+            del self._removed[next(iter(self._removed))]
+        self._note_change(name)
+
+    def _note_change(self, name: str) -> None:
+        self.revision += 1
+        self._log.append(name)
--- a/src/cairnloom/routing/placing.py
+++ b/src/cairnloom/routing/placing.py
@@ -11,7 +11,6 @@
 import hashlib
 
 from . import instances
-from . import routes
 from . import trackers
 from . import work
 
@@ -45,6 +44,14 @@
 AWAY_SECONDS = 0.03
 
 
+@dataclasses.dataclass(frozen=True)
+class Targets:
+    """When an answer is on time: its first event, and pauses, in seconds."""
+
+    first_answer: float
+    pause: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Reading:
     """Where a prompt is read, and how long that should take in seconds."""
@@ -110,7 +117,7 @@
         reading: list[instances.Instance],
         answering: list[instances.Instance],
         asked: work.Work,
-        route: routes.Route,
+        targets: Targets,
         urgency: int,
         now: float,
     ) -> Plan | None:
@@ -127,9 +134,9 @@
             return Plan(beside, False)
         seconds = apart.seconds + HANDOVER_SECONDS
         taken = beside.new_tokens / (self.rate * IN_PLACE_SPEED)
-        if taken <= PAUSE_SHARE * route.pause and beside.seconds <= seconds:
+        if taken <= PAUSE_SHARE * targets.pause and beside.seconds <= seconds:
             return Plan(beside, False)
-        if seconds > route.first_answer and beside.seconds < seconds:
+        if seconds > targets.first_answer and beside.seconds < seconds:
             return Plan(beside, False)
         return Plan(apart, True)
 
@@ -212,8 +219,8 @@
     shared = asked.parts[:-1]
     if not shared or not usable:
         return None
-    largest = max(shared, key=lambda part: part.tokens)
-    return max(usable, key=lambda item: _score(item.name, largest.name))
+    # The last one tells prompts apart that begin alike.
+    return max(usable, key=lambda item: _score(item.name, shared[-1].name))
 
 
 def _score(instance: str, part: str) -> float:
--- a/src/cairnloom/routing/trackers.py
+++ b/src/cairnloom/routing/trackers.py
@@ -150,6 +150,14 @@
             tracker = self._known[name] = Tracker()
         return tracker
 
+    def avoided(self, now: float) -> set[str]:
+        """Return the names of the instances that failed a moment ago."""
+        return {
+            name
+            for name, tracker in self._known.items()
+            if tracker.is_avoided(now)
+        }
+
     def busy_ones(self) -> list[tuple[str, Tracker]]:
         """Return the instances that this host has requests at."""
         return [
@@ -163,7 +171,7 @@
         self._known.pop(instance.name, None)
         self._born.pop(instance.name, None)
 
-    def forget_peer(self, host: str) -> None:
-        """Drop what a peer told before."""
+    def forget_peer(self, owner: str) -> None:
+        """Drop what another host told before."""
         for tracker in self._known.values():
-            tracker.peers.pop(host, None)
+            tracker.peers.pop(owner, None)
--- a/src/cairnloom/routing/work.py
+++ b/src/cairnloom/routing/work.py
@@ -99,8 +99,7 @@
     """The head of an endpoint's answer.
 
     ``signed`` tells that the answer is the endpoint's own, ``not_run`` that
-    the request did not run and won't. ``idle_seconds`` is how long the
-    endpoint keeps the connection open.
+    the request did not run and won't.
     """
 
     status: int
@@ -108,8 +107,6 @@
     signed: bool = False
     not_run: bool = False
     load: Load | None = None
-    idle_seconds: float | None = None
-    closes: bool = False
     headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
--- a/src/cairnloom/standins/atlas.py
+++ b/src/cairnloom/standins/atlas.py
@@ -88,6 +88,8 @@
         for item in body['Put']:
             value = base64.b64decode(item['Value'])
             self._set(item['Table'], item['Key'], value)
+        for item in body['Remove']:
+            self._set(item['Table'], item['Key'], None)
         self._tell()
         return 200, self._body([])
 
