Look each engine up once when a prompt is placed; ask and tell less often

Cause: placing looked up the tracker of every engine five times and hashed all of them twice for each prompt. The list of engines and the homes of prompts now stay until the directory changes.

Hosts that are no hubs ask every 0.4 s instead of 0.25 s; notes of ended answers wait 0.2 s for others.

--- a/src/cairnloom/entry/hubs.py
+++ b/src/cairnloom/entry/hubs.py
@@ -28,8 +28,10 @@
 from . import relay
 from . import state
 
-# How often a host asks.
-PERIOD_SECONDS = 0.25
+# How often a hub asks the others, and how many such periods other hosts wait
+# between their questions.
+PERIOD_SECONDS = 0.2
+PERIODS_OF_OTHERS = 2
 # A hub answers within milliseconds; the next one is asked after this time.
 TIMEOUT_SECONDS = 0.3
 # How many hubs are asked in one round, where some do not answer.
@@ -63,6 +65,7 @@
         self._follow_until = float('-inf')
         self._has: dict[str, tuple[int, int]] = {}
         self._strangers: dict[str, members.HostRow] = {}
+        self._rounds = 0
 
     def must_follow(self, now: float) -> bool:
         """Tell whether this host follows the store itself."""
@@ -87,6 +90,9 @@
         if self._members.is_hub():
             await self._ask_hubs(now)
             return
+        self._rounds += 1
+        if self._rounds % PERIODS_OF_OTHERS:
+            return
         for _ in range(TRIES):
             chosen = self._choose(now)
             if chosen is None or await self._ask(chosen):
--- a/src/cairnloom/entry/places.py
+++ b/src/cairnloom/entry/places.py
@@ -18,8 +18,10 @@
 # A hub answers within a few milliseconds; no caller waits longer for one that
 # stands still.
 TIMEOUT_SECONDS = 0.1
-# Notes wait this long, so that several go in one call.
+# Notes wait this long, so that several go in one call. That a prompt was read
+# matters to the next one that is placed, the end of an answer less.
 GATHER_SECONDS = 0.03
+GATHER_ENDS_SECONDS = 0.2
 NOTE_TIMEOUT_SECONDS = 1.0
 
 
@@ -39,6 +41,7 @@
         self._peers = others
         self._placed_by: dict[str, members.HostRow] = {}
         self._waiting: dict[str, list[desk.Note]] = {}
+        self._timers: dict[str, Any] = {}
 
     async def place(self, ask: desk.Ask) -> desk.Decision:
         """Have a request placed."""
@@ -74,10 +77,17 @@
         if hub is None:
             self._desk.note(note, self._reactor.seconds())
             return
-        waiting = self._waiting.setdefault(hub.owner, [])
-        waiting.append(note)
-        if len(waiting) == 1:
-            self._reactor.callLater(GATHER_SECONDS, self._send, hub)
+        self._waiting.setdefault(hub.owner, []).append(note)
+        gather = (
+            GATHER_ENDS_SECONDS if note.kind == 'ended' else GATHER_SECONDS
+        )
+        timer = self._timers.get(hub.owner)
+        if timer is None:
+            self._timers[hub.owner] = self._reactor.callLater(
+                gather, self._send, hub
+            )
+        elif timer.getTime() > self._reactor.seconds() + gather:
+            timer.reset(gather)
 
     def _choose(self) -> members.HostRow | None:
         """Return the hub that places, or None where that is this host."""
@@ -94,6 +104,7 @@
         return self._desk.place(self._members.me.host, ask, now)
 
     def _send(self, hub: members.HostRow) -> None:
+        del self._timers[hub.owner]
         notes = self._waiting.pop(hub.owner)
         knowledge.start(self._tell(hub, notes))
 
--- a/src/cairnloom/routing/desk.py
+++ b/src/cairnloom/routing/desk.py
@@ -111,13 +111,15 @@
         self,
         known: trackers.Trackers,
         placer: placing.Placer,
-        ready: Callable[[str], list[instances.Instance]],
+        directory: instances.Directory,
         room: Callable[[str], int],
     ) -> None:
         self._trackers = known
         self._placer = placer
-        self._ready = ready
+        self._directory = directory
         self._room = room
+        self._engines: dict[str, placing.Engines] = {}
+        self._engines_at = -1
         self._reserved: dict[str, _Reservation] = {}
         self.when_read: Callable[[str, tuple[work.Part, ...]], None] = (
             lambda name, parts: None
@@ -126,27 +128,18 @@
     def place(self, host: str, ask: Ask, now: float) -> Decision:
         """Choose engines for a request of a host, and reserve them."""
         self._release(ask.request)
-        engines = [
-            item
-            for item in self._ready(ask.service)
-            if item.name not in ask.tried
-        ]
-        reading = _prefer(engines, ('prefill',), ask.avoided)
-        answering = _prefer(engines, ('decode', ''), ask.avoided)
+        engines = self._list_engines(ask)
         if ask.cache_at:
-            return self._place_answer(host, ask, answering, now)
-        if ask.resumes:
-            # An answer goes on where it is generated.
-            reading = []
+            return self._place_answer(host, ask, engines.answering, now)
         plan = self._placer.plan(
-            reading, answering, ask.work, ask.targets, ask.urgency, now
+            engines, ask.work, ask.targets, ask.urgency, now
         )
         if plan is None:
             return Refused('no engine')
         late = plan.reading.seconds - ask.left
         if late > 0 and not ask.resumes:
             return Refused('too late', late)
-        return self._reserve(host, ask, plan, answering, now)
+        return self._reserve(host, ask, plan, engines.answering, now)
 
     def note(self, note: Note, now: float) -> None:
         """Take what became of a request."""
@@ -172,38 +165,54 @@
             if reserved.host == host:
                 self._release(request)
 
+    def _list_engines(self, ask: Ask) -> placing.Engines:
+        if self._engines_at != self._directory.revision:
+            self._engines_at = self._directory.revision
+            self._engines.clear()
+        found = self._engines.get(ask.service)
+        if found is None:
+            tracked = [
+                trackers.Tracked(item, self._trackers.of(item))
+                for item in self._directory.ready(ask.service)
+            ]
+            found = self._engines[ask.service] = _divide(tracked)
+        if not ask.tried and not ask.avoided and not ask.resumes:
+            return found
+        # An answer goes on where it is generated.
+        reading = [] if ask.resumes else _select(found.reading.items, ask)
+        answering = _select(found.answering.items, ask)
+        return placing.Engines(
+            placing.Group(reading), placing.Group(answering)
+        )
+
     def _place_answer(
         self,
         host: str,
         ask: Ask,
-        answering: list[instances.Instance],
+        answering: placing.Group,
         now: float,
     ) -> Decision:
-        ready = self._ready(ask.service)
-        domains = [
-            item.failure_domain for item in ready if item.name == ask.cache_at
-        ]
-        domain = domains[0] if domains else ''
+        holder = self._directory.find(ask.cache_at)
+        domain = holder.failure_domain if holder else ''
         chosen = self._placer.choose_answering(
             answering, ask.work, domain, now
         )
         if chosen is None:
             return Refused('no engine')
-        tracker = self._trackers.of(chosen)
-        self._keep(host, ask, tracker, tracker, 0, False, now)
-        return Placement(ask.cache_at, chosen.name, True, '', 0.0, 0)
+        self._keep(host, ask, chosen.tracker, chosen.tracker, 0, False, now)
+        name = chosen.instance.name
+        return Placement(ask.cache_at, name, True, '', 0.0, 0)
 
     def _reserve(
         self,
         host: str,
         ask: Ask,
         plan: placing.Plan,
-        answering: list[instances.Instance],
+        answering: placing.Group,
         now: float,
     ) -> Decision:
         reading = plan.reading
-        at = self._trackers.of(reading.instance)
-        chosen = reading.instance
+        chosen = trackers.Tracked(reading.instance, reading.tracker)
         if plan.apart:
             found = self._placer.choose_answering(
                 answering, ask.work, reading.instance.failure_domain, now
@@ -214,28 +223,32 @@
         self._keep(
             host,
             ask,
-            at,
-            self._trackers.of(chosen),
+            reading.tracker,
+            chosen.tracker,
             reading.new_tokens,
             plan.apart,
             now,
         )
-        room = int(self._room(ask.service) * CACHE_SHARE)
-        for item in {reading.instance.name, chosen.name}:
-            tracker = self._trackers.named(item)
-            tracker.room = room
-            tracker.note_parts(ask.work.parts)
-            self.when_read(item, ask.work.parts)
+        self._note_parts(reading.instance.name, reading.tracker, ask)
+        if plan.apart:
+            self._note_parts(chosen.instance.name, chosen.tracker, ask)
         neighbour = reading.neighbour.name if reading.neighbour else ''
         return Placement(
             reading.instance.name,
-            chosen.name,
+            chosen.instance.name,
             plan.apart,
             neighbour,
             reading.seconds,
             reading.new_tokens,
         )
 
+    def _note_parts(
+        self, name: str, tracker: trackers.Tracker, ask: Ask
+    ) -> None:
+        tracker.room = int(self._room(ask.service) * CACHE_SHARE)
+        tracker.note_parts(ask.work.parts)
+        self.when_read(name, ask.work.parts)
+
     def _keep(
         self,
         host: str,
@@ -281,10 +294,15 @@
         reserved.answering.running -= 1
 
 
-def _prefer(
-    engines: list[instances.Instance],
-    roles: tuple[str, ...],
-    avoided: list[str],
-) -> list[instances.Instance]:
-    fitting = [item for item in engines if item.role in roles]
-    return [item for item in fitting if item.name not in avoided] or fitting
+def _divide(tracked: list[trackers.Tracked]) -> placing.Engines:
+    reading = [item for item in tracked if item.instance.role == 'prefill']
+    answering = [item for item in tracked if item.instance.role != 'prefill']
+    return placing.Engines(placing.Group(reading), placing.Group(answering))
+
+
+def _select(
+    engines: list[trackers.Tracked], ask: Ask
+) -> list[trackers.Tracked]:
+    left = [item for item in engines if item.instance.name not in ask.tried]
+    good = [item for item in left if item.instance.name not in ask.avoided]
+    return good or left
--- a/src/cairnloom/routing/instances.py
+++ b/src/cairnloom/routing/instances.py
@@ -80,6 +80,8 @@
         self.revision = 0
         self.version = 0
         self.loaded = False
+        self._ready: dict[str, list[Instance]] = {}
+        self._ready_at = 0
 
     def note_outage(self, now: float) -> None:
         """Note that the store can't be reached, or just came back."""
@@ -162,13 +164,22 @@
         return entry.instance if entry else None
 
     def ready(self, service: str) -> list[Instance]:
-        """Return the instances of a service that take new work."""
-        return [
-            entry.instance
-            for entry in self._entries.values()
-            if entry.instance.service == service
-            and entry.instance.state == 'ready'
-        ]
+        """Return the instances of a service that take new work.
+
+        The list stays the same until the revision changes.
+        """
+        if self._ready_at != self.revision:
+            self._ready_at = self.revision
+            self._ready.clear()
+        found = self._ready.get(service)
+        if found is None:
+            found = self._ready[service] = [
+                entry.instance
+                for entry in self._entries.values()
+                if entry.instance.service == service
+                and entry.instance.state == 'ready'
+            ]
+        return found
 
     def is_current(self, instance: Instance) -> bool:
         """Tell whether this start of an endpoint may get new work."""
--- a/src/cairnloom/routing/placing.py
+++ b/src/cairnloom/routing/placing.py
@@ -9,6 +9,8 @@
 
 import dataclasses
 import hashlib
+import itertools
+from typing import Iterable
 
 from . import instances
 from . import trackers
@@ -44,6 +46,12 @@
 AWAY_SECONDS = 0.03
 
 
+# Homes that are remembered for a group of engines, each some 150 bytes.
+HOMES_KEPT = 8192
+# Decides between endpoints that are equally busy, in requests times 256.
+JITTER = 0.0004
+
+
 @dataclasses.dataclass(frozen=True)
 class Targets:
     """When an answer is on time: its first event, and pauses, in seconds."""
@@ -57,6 +65,7 @@
     """Where a prompt is read, and how long that should take in seconds."""
 
     instance: instances.Instance
+    tracker: trackers.Tracker
     seconds: float
     new_tokens: int
     neighbour: instances.Instance | None = None
@@ -73,8 +82,50 @@
     apart: bool
 
 
+class Group:
+    """Engines that may be chosen, and where prompts have their home."""
+
+    def __init__(self, items: list[trackers.Tracked]) -> None:
+        self.items = items
+        self._homes: dict[str, trackers.Tracked] = {}
+
+    def usable(self, now: float) -> 'Group':
+        """Leave out who failed a moment ago, unless all did."""
+        good = [
+            item for item in self.items if not item.tracker.is_avoided(now)
+        ]
+        if not good or len(good) == len(self.items):
+            return self
+        return Group(good)
+
+    def find_home(
+        self, shared: tuple[work.Part, ...]
+    ) -> trackers.Tracked | None:
+        """Return the engine at which prompts with the same parts meet."""
+        if not shared or not self.items:
+            return None
+        # The last one tells prompts apart that begin alike.
+        part = shared[-1].name
+        home = self._homes.get(part)
+        if home is None:
+            if len(self._homes) >= HOMES_KEPT:
+                self._homes.clear()
+            home = self._homes[part] = max(
+                self.items, key=lambda item: _score(item.instance.name, part)
+            )
+        return home
+
+
+@dataclasses.dataclass(frozen=True)
+class Engines:
+    """The engines that may be chosen: who reads, and who answers."""
+
+    reading: Group
+    answering: Group
+
+
 class Placer:
-    """Choose among instances, with what the trackers know."""
+    """Choose among endpoints, with what the trackers know."""
 
     def __init__(self, known: trackers.Trackers, domain: str) -> None:
         self._trackers = known
@@ -85,49 +136,55 @@
         self, ready: list[instances.Instance], now: float
     ) -> instances.Instance | None:
         """Choose for a plain request: the least busy, near ones first."""
-        usable = self._usable(ready, now)
-        if not usable:
+        if not ready:
             return None
-        return min(usable, key=lambda item: self._pressure(item, now))
+        found = [
+            trackers.Tracked(item, self._trackers.of(item)) for item in ready
+        ]
+        usable = Group(found).usable(now).items
+        chosen = min(usable, key=lambda item: self._pressure(item, now))
+        return chosen.instance
 
     def choose_answering(
         self,
-        ready: list[instances.Instance],
+        answering: Group,
         asked: work.Work,
         domain: str,
         now: float,
-    ) -> instances.Instance | None:
+    ) -> trackers.Tracked | None:
         """Choose where a prompt's cache goes that was read in a domain."""
-        usable = self._usable(ready, now)
-        if not usable:
+        usable = answering.usable(now)
+        if not usable.items:
             return None
-        home = _find_home(asked, usable)
+        home = usable.find_home(asked.parts[:-1])
 
-        def rank(item: instances.Instance) -> float:
-            far = 0.0 if item.failure_domain == domain else 1.0
-            extra = HANDOVER_FAR_PENALTY * far
+        def rank(item: trackers.Tracked) -> float:
+            near = item.instance.failure_domain == domain
+            extra = 0.0 if near else HANDOVER_FAR_PENALTY
             if item is home:
                 extra -= HOME_BONUS
-            return self._trackers.of(item).busy(now) + extra
+            return item.tracker.busy(now) + extra
 
-        return min(usable, key=rank)
+        return min(usable.items, key=rank)
 
     def plan(
         self,
-        reading: list[instances.Instance],
-        answering: list[instances.Instance],
+        engines: Engines,
         asked: work.Work,
         targets: Targets,
         urgency: int,
         now: float,
     ) -> Plan | None:
         """Choose where a prompt is read, apart or by who answers."""
-        apart = self._choose_reading(
-            reading, answering, asked, urgency, 1.0, now
-        )
-        beside = self._choose_reading(
-            answering, reading, asked, urgency, IN_PLACE_SPEED, now
+        reading = engines.reading.usable(now)
+        answering = engines.answering.usable(now)
+        shared = asked.parts[:-1]
+        holder, held = _find_holder(
+            itertools.chain(reading.items, answering.items), shared
         )
+        ask = _Ask(asked, shared, urgency, holder, held, now)
+        apart = self._choose_reading(reading, ask, 1.0)
+        beside = self._choose_reading(answering, ask, IN_PLACE_SPEED)
         if beside is None:
             return None
         if apart is None:
@@ -147,83 +204,74 @@
             self.rate += RATE_STEP * (tokens / reading - self.rate)
 
     def _choose_reading(
-        self,
-        ready: list[instances.Instance],
-        others: list[instances.Instance],
-        asked: work.Work,
-        urgency: int,
-        speed: float,
-        now: float,
+        self, usable: Group, ask: '_Ask', speed: float
     ) -> Reading | None:
-        usable = self._usable(ready, now)
-        if not usable:
+        if not usable.items:
             return None
-        home = _find_home(asked, usable)
-        cached = {
-            item.name: self._trackers.of(item).cached_tokens(asked.parts[:-1])
-            for item in [*usable, *others]
-        }
-        holder = max([*usable, *others], key=lambda item: cached[item.name])
-        found = [
-            self._estimate(
-                item, asked, urgency, cached, home, holder, speed, now
-            )
-            for item in usable
-        ]
-        return min(found, key=lambda reading: reading.seconds)
-
-    def _estimate(
-        self,
-        item: instances.Instance,
-        asked: work.Work,
-        urgency: int,
-        cached: dict[str, int],
-        home: instances.Instance | None,
-        holder: instances.Instance,
-        speed: float,
-        now: float,
-    ) -> Reading:
-        here, there = cached[item.name], cached[holder.name]
-        seconds = PROMPT_SECONDS
+        home = usable.find_home(ask.shared)
+        rate = self.rate * speed
+        best, least = usable.items[0], float('inf')
+        for item in usable.items:
+            tracker = item.tracker
+            here = ask.cached(tracker)
+            extra = 0.0
+            if ask.held > here:
+                here = ask.held
+                extra = FETCH_SECONDS
+            elif not here and ask.shared and item is not home:
+                extra = AWAY_SECONDS
+            queued = tracker.queued_tokens(ask.urgency, ask.now)
+            seconds = extra + (queued - here) / rate
+            if seconds < least:
+                best, least = item, seconds
+        here = ask.cached(best.tracker)
         neighbour = None
-        if there > here:
-            neighbour = holder
-            seconds += FETCH_SECONDS
-        elif not here and home is not None and item is not home:
-            seconds += AWAY_SECONDS
-        new = max(0, asked.prompt_tokens - max(here, there))
-        queued = self._trackers.of(item).queued_tokens(urgency, now)
-        seconds += (queued + new) / (self.rate * speed)
-        return Reading(item, seconds, new, neighbour)
-
-    def _usable(
-        self, ready: list[instances.Instance], now: float
-    ) -> list[instances.Instance]:
-        good = [
-            item
-            for item in ready
-            if not self._trackers.of(item).is_avoided(now)
-        ]
-        return good or ready
+        if ask.held > here and ask.holder is not None:
+            neighbour, here = ask.holder.instance, ask.held
+        tokens = ask.asked.prompt_tokens
+        seconds = PROMPT_SECONDS + least + tokens / rate
+        new = max(0, tokens - here)
+        return Reading(best.instance, best.tracker, seconds, new, neighbour)
+
+    def _pressure(self, item: trackers.Tracked, now: float) -> float:
+        instance = item.instance
+        near = instance.failure_domain == self._domain
+        far = 0.0 if near else FAR_PENALTY
+        jitter = JITTER * _score(instance.name, '%f' % now)[0]
+        return (item.tracker.busy(now) + far + jitter) / instance.slots
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Ask:
+    """Model work, and who holds how many tokens of its shared parts."""
+
+    asked: work.Work
+    shared: tuple[work.Part, ...]
+    urgency: int
+    holder: trackers.Tracked | None
+    held: int
+    now: float
 
-    def _pressure(self, item: instances.Instance, now: float) -> float:
-        far = 0.0 if item.failure_domain == self._domain else FAR_PENALTY
-        tracker = self._trackers.of(item)
-        jitter = _score(item.name, '%f' % now) * 0.1
-        return (tracker.busy(now) + far + jitter) / item.slots
+    def cached(self, tracker: trackers.Tracker) -> int:
+        """Return how many leading tokens an engine has cached."""
+        return tracker.cached_tokens(self.shared) if self.held else 0
 
 
-def _find_home(
-    asked: work.Work, usable: list[instances.Instance]
-) -> instances.Instance | None:
-    shared = asked.parts[:-1]
-    if not shared or not usable:
-        return None
-    # The last one tells prompts apart that begin alike.
-    return max(usable, key=lambda item: _score(item.name, shared[-1].name))
+def _find_holder(
+    engines: Iterable[trackers.Tracked],
+    shared: tuple[work.Part, ...],
+) -> tuple[trackers.Tracked | None, int]:
+    holder, held = None, 0
+    if shared:
+        first = shared[0].name
+        for item in engines:
+            if first in item.tracker.parts:
+                tokens = item.tracker.cached_tokens(shared)
+                if tokens > held:
+                    holder, held = item, tokens
+    return holder, held
 
 
-def _score(instance: str, part: str) -> float:
-    text = ('%s %s' % (instance, part)).encode()
-    digest = hashlib.blake2b(text, digest_size=8).digest()
-    return int.from_bytes(digest, 'big') / 2**64
+def _score(instance: str, part: str) -> bytes:
+    text = '%s %s' % (instance, part)
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- a/src/cairnloom/routing/trackers.py
+++ b/src/cairnloom/routing/trackers.py
@@ -59,6 +59,8 @@
 
     def busy(self, now: float) -> float:
         """Estimate the requests at the endpoint, of all hosts."""
+        if not self.peers and not self.others:
+            return float(self.running)
         age = now - self.others_at
         fade = max(0.0, 1.0 - age / LOAD_FADES_SECONDS)
         told = sum(
@@ -76,7 +78,7 @@
 
     def queued_tokens(self, urgency: int, now: float) -> int:
         """Estimate the prompt tokens that are read before a new one."""
-        total = _sum_ahead(self.pending, urgency)
+        total = _sum_ahead(self.pending, urgency) if self.pending else 0
         for load in self.peers.values():
             if now < load.until:
                 total += _sum_ahead(load.pending, urgency)
@@ -125,6 +127,14 @@
     return sum(tokens for rank, tokens in pending.items() if rank <= urgency)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tracked:
+    """An instance beside its tracker."""
+
+    instance: instances.Instance
+    tracker: Tracker
+
+
 class Trackers:
     """The trackers of all instances, by name.
 
--- a/tests/engine_fleet.py
+++ b/tests/engine_fleet.py
@@ -72,6 +72,7 @@
     def __init__(self, desks, engines, seed=1):
         self.random = random.Random(seed)
         self.engines = {}
+        self.directory = instances.Directory()
         for number in range(engines):
             role = 'prefill' if number % 2 else 'decode'
             name = 'e%d' % number
@@ -86,6 +87,9 @@
                     slots=64,
                 )
             )
+            self.directory.apply(
+                instances.Change(name, 1, self.engines[name].instance), 0.0
+            )
         self.desks = [self._make_desk() for _ in range(desks)]
         self.waits = []
         self.refused = 0
@@ -98,7 +102,7 @@
         return desk.Desk(
             known,
             placing.Placer(known, 'a'),
-            lambda service: [item.instance for item in self.engines.values()],
+            self.directory,
             lambda service: MEMORY,
         )
 
@@ -107,6 +111,7 @@
         for name, engine in list(self.engines.items()):
             if engine.instance.failure_domain == domain:
                 del self.engines[name]
+                self.directory.drop(name, 2)
 
     def run(self, arrivals, losses=()):
         """Play arrivals as pairs of time and work, and losses of domains."""
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -53,9 +53,12 @@
     assert spread.in_time(TARGET) > homes.in_time(TARGET)
 
 
-def _choose_at_home_only(self, ready, others, asked, urgency, speed, now):
-    home = placing._find_home(asked, ready)
-    return home and placing.Reading(home, 0.1, asked.prompt_tokens, None)
+def _choose_at_home_only(self, usable, ask, speed):
+    home = usable.find_home(ask.shared)
+    if home is None:
+        return None
+    tokens = ask.asked.prompt_tokens
+    return placing.Reading(home.instance, home.tracker, 0.1, tokens, None)
 
 
 def test_prompt_goes_where_its_parts_are():
@@ -87,9 +90,17 @@
 
 
 def plan(placer, asked, reading=1, answering=1):
+    def group(prefix, role, count):
+        found = [engine(prefix + str(number), role) for number in range(count)]
+        known = placer._trackers
+        return placing.Group(
+            [trackers.Tracked(item, known.of(item)) for item in found]
+        )
+
     return placer.plan(
-        [engine('p%d' % number, 'prefill') for number in range(reading)],
-        [engine('w%d' % number, 'decode') for number in range(answering)],
+        placing.Engines(
+            group('p', 'prefill', reading), group('w', 'decode', answering)
+        ),
         asked,
         engine_fleet.TARGETS,
         0,
