--- a/src/cairnloom/entry/places.py
+++ b/src/cairnloom/entry/places.py
@@ -49,6 +49,13 @@
         before = self._placed_by.get(ask.request)
         if before is not None and before != hub:
             self.note(desk.Note(ask.request, 'ended'))
+        decision = await self._place_at(hub, ask)
+        _note_decision(ask, decision, hub)
+        return decision
+
+    async def _place_at(
+        self, hub: members.HostRow | None, ask: desk.Ask
+    ) -> desk.Decision:
         if hub is None:
             return self._place_here(ask)
         message = messages.PlaceRequest(self._members.me.host, ask)
@@ -122,3 +129,32 @@
         except exceptions.PlatformError as fault:
             # The hub forgets these requests by itself.
             logs.note('notes_lost', hub=hub.host, reason=str(fault))
+
+
+def _note_decision(
+    ask: desk.Ask, decision: desk.Decision, hub: members.HostRow | None
+) -> None:
+    request = ask.request.partition('/')[2]
+    by = hub.host if hub else ''
+    match decision:
+        case desk.Placement():
+            logs.note(
+                'placed',
+                request=request,
+                by=by,
+                reading=decision.reading,
+                answering=decision.answering,
+                neighbour=decision.neighbour,
+                expected=round(decision.seconds, 3),
+                new_tokens=decision.new_tokens,
+                left=round(ask.left, 3),
+            )
+        case desk.Refused():
+            logs.note(
+                'not_placed',
+                request=request,
+                by=by,
+                reason=decision.reason,
+                late=round(decision.late, 3),
+                left=round(ask.left, 3),
+            )
