Learn how fast each engine reads prompts and takes caches

What a way to the answering engine takes was a constant. The desk now expects it from the size of caches on their way and from how long the last ones took; the same for reading.

--- a/src/cairnloom/entry/generation.py
+++ b/src/cairnloom/entry/generation.py
@@ -115,7 +115,7 @@
             answering,
             phase,
             self._note_taken,
-            self._note_read,
+            self._note_begun,
         )
         match outcome:
             case outcomes.Failed() | outcomes.NotRun():
@@ -143,8 +143,8 @@
     def _note_taken(self) -> None:
         self._handle = None
 
-    def _note_read(self) -> None:
-        self._host.places.note(desk.Note(self._name, 'read'))
+    def _note_begun(self) -> None:
+        self._host.places.note(desk.Note(self._name, 'begun'))
 
     def _note_failed(self, engine: str) -> None:
         note = desk.Note(self._name, 'failed', failed=engine)
--- a/src/cairnloom/entry/knowledge.py
+++ b/src/cairnloom/entry/knowledge.py
@@ -25,6 +25,8 @@
 GATHER_SECONDS = 0.2
 # For so long an answer of a hub in touch with the store counts as news.
 TOLD_SECONDS = 1.0
+# What is said of engines whose service is not known yet.
+NO_ENGINE = routes.EngineModel(slots=1, memory_tokens=0)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -100,10 +102,10 @@
         """Tell whether the store answers this host, or a hub of late."""
         return self.is_direct() or now - self.told_at < TOLD_SECONDS
 
-    def engine_memory(self, service: str) -> int:
-        """Return the memory of a service's engines, in tokens."""
+    def engine_model(self, service: str) -> routes.EngineModel:
+        """Return what the engines of a service have."""
         found = self.table.services.get(service) if self.table else None
-        return found.engine.memory_tokens if found and found.engine else 0
+        return found.engine if found and found.engine else NO_ENGINE
 
     def take(self, update: Update, now: float) -> None:
         """Take what a source told."""
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -116,7 +116,7 @@
         knows = knowledge.Knowledge()
         load = exchange.LoadExchange(self._owner, known)
         self._desk = desk.Desk(
-            known, placer, knows.directory, knows.engine_memory
+            known, placer, knows.directory, knows.engine_model
         )
         self._desk.when_read = load.note_parts
         clock = clocks.SharedClock(reactor, lambda: parts.store.ahead)
--- a/src/cairnloom/routing/desk.py
+++ b/src/cairnloom/routing/desk.py
@@ -13,6 +13,7 @@
 
 from . import instances
 from . import placing
+from . import routes
 from . import trackers
 from . import work
 
@@ -81,27 +82,34 @@
 class Note:
     """What became of a request that was placed.
 
-    ``failed`` names an engine that did not do what it was asked to.
-    ``seconds`` is how long the reading of the prompt took.
+    It was ``read`` apart, its answer has ``begun`` or ``ended``. ``failed``
+    names an engine that did not do what it was asked to. ``seconds`` is how
+    long the reading of the prompt took.
     """
 
     request: str
-    kind: Literal['read', 'ended', 'failed']
+    kind: Literal['read', 'begun', 'ended', 'failed']
     seconds: float = 0.0
     failed: str = ''
 
 
 @dataclasses.dataclass
 class _Reservation:
+    """A request that was placed and has not ended.
+
+    ``taker`` is set while the cache of its prompt is waited for.
+    """
+
     host: str
-    reading: trackers.Tracker
-    answering: trackers.Tracker
-    tokens: int
+    request: str
+    reader: trackers.Tracker | None
+    answerer: trackers.Tracker
+    taker: placing.Answering | None
+    prompt_tokens: int
+    new_tokens: int
     urgency: int
     alone: bool
-    apart: bool
     until: float
-    read: bool = False
 
 
 class Desk:
@@ -112,12 +120,12 @@
         known: trackers.Trackers,
         placer: placing.Placer,
         directory: instances.Directory,
-        room: Callable[[str], int],
+        model: Callable[[str], routes.EngineModel],
     ) -> None:
         self._trackers = known
         self._placer = placer
         self._directory = directory
-        self._room = room
+        self._model = model
         self._engines: dict[str, placing.Engines] = {}
         self._engines_at = -1
         self._reserved: dict[str, _Reservation] = {}
@@ -129,17 +137,18 @@
         """Choose engines for a request of a host, and reserve them."""
         self._release(ask.request)
         engines = self._list_engines(ask)
+        model = self._model(ask.service)
         if ask.cache_at:
-            return self._place_answer(host, ask, engines.answering, now)
+            return self._place_answer(host, ask, engines, model, now)
         plan = self._placer.plan(
-            engines, ask.work, ask.targets, ask.urgency, now
+            engines, ask.work, ask.targets, ask.urgency, model, now
         )
         if plan is None:
             return Refused('no engine')
-        late = plan.reading.seconds - ask.left
+        late = plan.seconds - ask.left
         if late > 0 and not ask.resumes:
             return Refused('too late', late)
-        return self._reserve(host, ask, plan, engines.answering, now)
+        return self._reserve(host, ask, plan, model, now)
 
     def note(self, note: Note, now: float) -> None:
         """Take what became of a request."""
@@ -148,10 +157,14 @@
         reserved = self._reserved.get(note.request)
         if reserved is None:
             return
-        if note.kind == 'read' and not reserved.read:
-            self._note_read(reserved, note.seconds)
-        elif note.kind == 'ended':
-            self._release(note.request)
+        match note.kind:
+            case 'read':
+                self._note_read(reserved, note.seconds, now)
+            case 'begun':
+                self._note_read(reserved, 0.0, now)
+                self._note_taken(reserved, now)
+            case 'ended':
+                self._release(note.request)
 
     def expire(self, now: float) -> None:
         """Forget requests whose end was never told."""
@@ -189,109 +202,129 @@
         self,
         host: str,
         ask: Ask,
-        answering: placing.Group,
+        engines: placing.Engines,
+        model: routes.EngineModel,
         now: float,
     ) -> Decision:
         holder = self._directory.find(ask.cache_at)
         domain = holder.failure_domain if holder else ''
-        chosen = self._placer.choose_answering(
-            answering, ask.work, domain, now
+        taker = self._placer.choose_answering(
+            engines.answering, ask.work, domain, model, now
         )
-        if chosen is None:
+        if taker is None:
             return Refused('no engine')
-        self._keep(host, ask, chosen.tracker, chosen.tracker, 0, False, now)
-        name = chosen.instance.name
-        return Placement(ask.cache_at, name, True, '', 0.0, 0)
+        self._keep(host, ask, None, taker.engine.tracker, taker, now)
+        self._begin_taking(self._reserved[ask.request], now)
+        name = taker.engine.instance.name
+        return Placement(ask.cache_at, name, True, '', taker.seconds, 0)
 
     def _reserve(
         self,
         host: str,
         ask: Ask,
         plan: placing.Plan,
-        answering: placing.Group,
+        model: routes.EngineModel,
         now: float,
-    ) -> Decision:
-        reading = plan.reading
-        chosen = trackers.Tracked(reading.instance, reading.tracker)
-        if plan.apart:
-            found = self._placer.choose_answering(
-                answering, ask.work, reading.instance.failure_domain, now
-            )
-            if found is None:
-                return Refused('no engine')
-            chosen = found
-        self._keep(
-            host,
-            ask,
-            reading.tracker,
-            chosen.tracker,
-            reading.new_tokens,
-            plan.apart,
-            now,
-        )
-        self._note_parts(reading.instance.name, reading.tracker, ask)
-        if plan.apart:
-            self._note_parts(chosen.instance.name, chosen.tracker, ask)
-        neighbour = reading.neighbour.name if reading.neighbour else ''
+    ) -> Placement:
+        reading, taker = plan.reading, plan.answering
+        answerer = taker.engine if taker else reading.engine
+        self._keep(host, ask, reading, answerer.tracker, taker, now)
+        self._note_parts(reading.engine, ask, model)
+        if taker is not None:
+            self._note_parts(answerer, ask, model)
         return Placement(
-            reading.instance.name,
-            chosen.instance.name,
-            plan.apart,
-            neighbour,
-            reading.seconds,
+            reading.engine.instance.name,
+            answerer.instance.name,
+            taker is not None,
+            reading.neighbour.name if reading.neighbour else '',
+            plan.seconds,
             reading.new_tokens,
         )
 
     def _note_parts(
-        self, name: str, tracker: trackers.Tracker, ask: Ask
+        self, engine: trackers.Tracked, ask: Ask, model: routes.EngineModel
     ) -> None:
-        tracker.room = int(self._room(ask.service) * CACHE_SHARE)
-        tracker.note_parts(ask.work.parts)
-        self.when_read(name, ask.work.parts)
+        engine.tracker.room = int(model.memory_tokens * CACHE_SHARE)
+        engine.tracker.note_parts(ask.work.parts)
+        self.when_read(engine.instance.name, ask.work.parts)
 
     def _keep(
         self,
         host: str,
         ask: Ask,
-        reading: trackers.Tracker,
-        answering: trackers.Tracker,
-        tokens: int,
-        apart: bool,
+        reading: placing.Reading | None,
+        answerer: trackers.Tracker,
+        taker: placing.Answering | None,
         now: float,
     ) -> None:
-        alone = reading.running == 0
-        answering.running += 1
-        if apart:
-            reading.running += 1
-        reading.add_pending(ask.urgency, tokens)
-        self._reserved[ask.request] = _Reservation(
-            host,
-            reading,
-            answering,
-            tokens,
-            ask.urgency,
-            alone,
-            apart,
-            now + FORGOTTEN_SECONDS,
+        answerer.running += 1
+        reserved = _Reservation(
+            host=host,
+            request=ask.request,
+            reader=None,
+            answerer=answerer,
+            taker=taker,
+            prompt_tokens=ask.work.prompt_tokens,
+            new_tokens=0,
+            urgency=ask.urgency,
+            alone=False,
+            until=now + FORGOTTEN_SECONDS,
         )
-
-    def _note_read(self, reserved: _Reservation, seconds: float) -> None:
-        reserved.read = True
-        reserved.reading.add_pending(reserved.urgency, -reserved.tokens)
-        if reserved.apart:
-            reserved.reading.running -= 1
-            if reserved.alone:
-                self._placer.note_rate(reserved.tokens, seconds)
+        self._reserved[ask.request] = reserved
+        if reading is None:
+            return
+        tracker = reading.engine.tracker
+        reserved.reader = tracker
+        reserved.new_tokens = reading.new_tokens
+        if taker is not None:
+            reserved.alone = tracker.running == 0
+            tracker.running += 1
+        tracker.add_pending(ask.urgency, reading.new_tokens)
+        tracker.reading.begin(ask.request, reading.usual, now)
+
+    def _begin_taking(self, reserved: _Reservation, now: float) -> None:
+        if reserved.taker is not None:
+            answerer = reserved.answerer
+            answerer.arriving += reserved.prompt_tokens
+            answerer.taking.begin(reserved.request, reserved.taker.usual, now)
+
+    def _note_read(
+        self, reserved: _Reservation, seconds: float, now: float
+    ) -> None:
+        if reserved.reader is None:
+            return
+        reserved.reader.reading.end(reserved.request, now)
+        if reserved.alone:
+            self._placer.note_rate(reserved.new_tokens, seconds)
+        self._end_reading(reserved)
+        self._begin_taking(reserved, now)
+
+    def _note_taken(self, reserved: _Reservation, now: float) -> None:
+        if reserved.taker is not None:
+            reserved.answerer.taking.end(reserved.request, now)
+            reserved.answerer.arriving -= reserved.prompt_tokens
+            reserved.taker = None
+
+    def _end_reading(self, reserved: _Reservation) -> None:
+        tracker = reserved.reader
+        if tracker is None:
+            return
+        reserved.reader = None
+        tracker.reading.drop(reserved.request)
+        tracker.add_pending(reserved.urgency, -reserved.new_tokens)
+        if reserved.taker is not None:
+            tracker.running -= 1
 
     def _release(self, request: str) -> None:
         reserved = self._reserved.pop(request, None)
         if reserved is None:
             return
-        if not reserved.read:
-            reserved.reading.add_pending(reserved.urgency, -reserved.tokens)
-            if reserved.apart:
-                reserved.reading.running -= 1
-        reserved.answering.running -= 1
+        reserved.answerer.running -= 1
+        if reserved.reader is not None:
+            self._end_reading(reserved)
+        elif reserved.taker is not None:
+            reserved.answerer.taking.drop(request)
+            reserved.answerer.arriving -= reserved.prompt_tokens
 
 
 def _divide(tracked: list[trackers.Tracked]) -> placing.Engines:
--- a/src/cairnloom/routing/placing.py
+++ b/src/cairnloom/routing/placing.py
@@ -13,6 +13,7 @@
 from typing import Iterable
 
 from . import instances
+from . import routes
 from . import trackers
 from . import work
 
@@ -33,11 +34,13 @@
 HANDOVER_SECONDS = 0.03
 # What another failure domain adds to the load of an endpoint, in requests.
 FAR_PENALTY = 0.5
-# What cached parts take from the load of an answering engine, in requests. A
-# step grows little with the requests that it serves.
-HOME_BONUS = 6.0
-# What a way between failure domains adds to it: a cache moves at half speed.
-HANDOVER_FAR_PENALTY = 2.0
+# A cache takes this many times as long on its way to another failure domain.
+FAR_FACTOR = 2.0
+# What a request that is being answered adds to the rank of an engine, and
+# what being the home of the prompt's parts takes from it, in seconds. A step
+# grows little with the requests that it serves.
+BUSY_SECONDS = 0.01
+HOME_SECONDS = 0.06
 # What fetching cached parts adds, in seconds: the transfer is paid for, and
 # the copy takes memory from other parts.
 FETCH_SECONDS = 0.04
@@ -62,24 +65,38 @@
 
 @dataclasses.dataclass(frozen=True)
 class Reading:
-    """Where a prompt is read, and how long that should take in seconds."""
+    """Where a prompt is read, and how long that should take in seconds.
 
-    instance: instances.Instance
-    tracker: trackers.Tracker
+    ``usual`` leaves out what the engine is slower or faster than others.
+    """
+
+    engine: trackers.Tracked
     seconds: float
+    usual: float
     new_tokens: int
     neighbour: instances.Instance | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class Answering:
+    """Where a prompt's cache goes; ``seconds`` and ``usual`` likewise."""
+
+    engine: trackers.Tracked
+    seconds: float
+    usual: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Plan:
-    """Where a prompt is read: apart, or by the engine that answers.
+    """Where a prompt is read and answered.
 
-    Where it is read apart, the engine that answers is chosen afterwards.
+    Where one engine does both, ``answering`` is None. ``seconds`` is how long
+    it should take until the first event.
     """
 
     reading: Reading
-    apart: bool
+    answering: Answering | None
+    seconds: float
 
 
 class Group:
@@ -150,22 +167,30 @@
         answering: Group,
         asked: work.Work,
         domain: str,
+        model: routes.EngineModel,
         now: float,
-    ) -> trackers.Tracked | None:
+    ) -> Answering | None:
         """Choose where a prompt's cache goes that was read in a domain."""
         usable = answering.usable(now)
         if not usable.items:
             return None
         home = usable.find_home(asked.parts[:-1])
-
-        def rank(item: trackers.Tracked) -> float:
+        link = model.token_bytes / model.link_bytes_per_second
+        best: Answering | None = None
+        least = float('inf')
+        for item in usable.items:
+            tracker = item.tracker
             near = item.instance.failure_domain == domain
-            extra = 0.0 if near else HANDOVER_FAR_PENALTY
+            way = link if near else FAR_FACTOR * link
+            tokens = tracker.arriving + asked.prompt_tokens
+            usual = HANDOVER_SECONDS + tokens * way
+            seconds = usual * tracker.taking.at(now)
+            rank = seconds + BUSY_SECONDS * tracker.busy(now)
             if item is home:
-                extra -= HOME_BONUS
-            return item.tracker.busy(now) + extra
-
-        return min(usable.items, key=rank)
+                rank -= HOME_SECONDS
+            if rank < least:
+                best, least = Answering(item, seconds, usual), rank
+        return best
 
     def plan(
         self,
@@ -173,6 +198,7 @@
         asked: work.Work,
         targets: Targets,
         urgency: int,
+        model: routes.EngineModel,
         now: float,
     ) -> Plan | None:
         """Choose where a prompt is read, apart or by who answers."""
@@ -183,19 +209,24 @@
             itertools.chain(reading.items, answering.items), shared
         )
         ask = _Ask(asked, shared, urgency, holder, held, now)
-        apart = self._choose_reading(reading, ask, 1.0)
         beside = self._choose_reading(answering, ask, IN_PLACE_SPEED)
         if beside is None:
             return None
+        alone = Plan(beside, None, beside.seconds)
+        apart = self._choose_reading(reading, ask, 1.0)
         if apart is None:
-            return Plan(beside, False)
-        seconds = apart.seconds + HANDOVER_SECONDS
+            return alone
+        domain = apart.engine.instance.failure_domain
+        taker = self.choose_answering(answering, asked, domain, model, now)
+        if taker is None:
+            return alone
+        seconds = apart.seconds + taker.seconds
         taken = beside.new_tokens / (self.rate * IN_PLACE_SPEED)
         if taken <= PAUSE_SHARE * targets.pause and beside.seconds <= seconds:
-            return Plan(beside, False)
+            return alone
         if seconds > targets.first_answer and beside.seconds < seconds:
-            return Plan(beside, False)
-        return Plan(apart, True)
+            return alone
+        return Plan(apart, taker, seconds)
 
     def note_rate(self, tokens: int, seconds: float) -> None:
         """Learn from a prompt that was read while nothing else was."""
@@ -210,28 +241,29 @@
             return None
         home = usable.find_home(ask.shared)
         rate = self.rate * speed
-        best, least = usable.items[0], float('inf')
+        tokens = ask.asked.prompt_tokens
+        best = usable.items[0]
+        least = best_usual = float('inf')
         for item in usable.items:
             tracker = item.tracker
             here = ask.cached(tracker)
-            extra = 0.0
+            usual = PROMPT_SECONDS
             if ask.held > here:
                 here = ask.held
-                extra = FETCH_SECONDS
+                usual += FETCH_SECONDS
             elif not here and ask.shared and item is not home:
-                extra = AWAY_SECONDS
+                usual += AWAY_SECONDS
             queued = tracker.queued_tokens(ask.urgency, ask.now)
-            seconds = extra + (queued - here) / rate
+            usual += (queued + max(0, tokens - here)) / rate
+            seconds = usual * tracker.reading.at(ask.now)
             if seconds < least:
-                best, least = item, seconds
+                best, least, best_usual = item, seconds, usual
         here = ask.cached(best.tracker)
         neighbour = None
         if ask.held > here and ask.holder is not None:
             neighbour, here = ask.holder.instance, ask.held
-        tokens = ask.asked.prompt_tokens
-        seconds = PROMPT_SECONDS + least + tokens / rate
         new = max(0, tokens - here)
-        return Reading(best.instance, best.tracker, seconds, new, neighbour)
+        return Reading(best, least, best_usual, new, neighbour)
 
     def _pressure(self, item: trackers.Tracked, now: float) -> float:
         instance = item.instance
--- a/src/cairnloom/routing/trackers.py
+++ b/src/cairnloom/routing/trackers.py
@@ -16,6 +16,17 @@
 LONGEST_PAUSE_SECONDS = 4.0
 # What an answer told of an endpoint's load fades within this time.
 LOAD_FADES_SECONDS = 0.4
+# Weight of one request in the pace of an engine, and within which bounds it
+# counts.
+PACE_STEP = 0.3
+LEAST_PACE = 0.5
+MOST_PACE = 20.0
+# A pace that nothing confirms loses half of its effect in this time.
+PACE_HALF_LIFE_SECONDS = 2.0
+# What takes so many times as long as expected, and so much longer, is taken
+# to stand still.
+STUCK_FACTOR = 2.0
+STUCK_SECONDS = 0.1
 # Tokens that an engine is taken to cache until its service is known.
 UNKNOWN_ROOM = 200000
 
@@ -29,13 +40,68 @@
     until: float
 
 
+class Pace:
+    """How long an activity at an engine takes, against what is expected.
+
+    Answers engines and links that turn slow, or stand still, while they look
+    healthy. The factor returns to 1 when nothing more is heard.
+
+    >>> pace = Pace()
+    >>> pace.begin('a', 0.1, now=0.0)
+    >>> pace.end('a', now=0.4)
+    >>> round(pace.at(0.4), 2)
+    1.9
+    """
+
+    def __init__(self) -> None:
+        self._factor = 1.0
+        self._noted_at = float('-inf')
+        self._under_way: dict[str, tuple[float, float]] = {}
+
+    def begin(self, request: str, expected: float, now: float) -> None:
+        """Note that a request began, which should take so many seconds."""
+        self._under_way[request] = (now, expected)
+
+    def end(self, request: str, now: float) -> None:
+        """Note that a request is through."""
+        began = self._under_way.pop(request, None)
+        if began is None:
+            return
+        taken = (now - began[0]) / began[1]
+        taken = min(max(taken, LEAST_PACE), MOST_PACE)
+        factor = self._fade(now)
+        self._factor = factor + PACE_STEP * (taken - factor)
+        self._noted_at = now
+
+    def drop(self, request: str) -> None:
+        """Forget a request that is not waited for any more."""
+        self._under_way.pop(request, None)
+
+    def at(self, now: float) -> float:
+        """Return the factor by which things take longer than expected."""
+        if not self._under_way:
+            return self._fade(now) if self._factor != 1.0 else 1.0
+        began, expected = next(iter(self._under_way.values()))
+        age = now - began
+        factor = self._fade(now)
+        if age > STUCK_FACTOR * expected + STUCK_SECONDS:
+            return max(factor, min(MOST_PACE, age / expected))
+        return factor
+
+    def _fade(self, now: float) -> float:
+        left = 0.5 ** ((now - self._noted_at) / PACE_HALF_LIFE_SECONDS)
+        return 1.0 + (self._factor - 1.0) * left
+
+
 @dataclasses.dataclass
 class Tracker:
     """One instance.
 
     ``pending`` holds the prompt tokens that were sent and not read yet, by
     urgency, 0 first. ``room`` bounds the tokens of parts that are taken to be
-    cached.
+    cached. ``arriving`` counts the tokens of caches that are on their way to
+    it; ``reading`` and ``taking`` tell how fast prompts are read and caches
+    taken.
     """
 
     running: int = 0
@@ -50,6 +116,9 @@
         default_factory=collections.OrderedDict
     )
     part_tokens: int = 0
+    arriving: int = 0
+    reading: Pace = dataclasses.field(default_factory=Pace)
+    taking: Pace = dataclasses.field(default_factory=Pace)
 
     def note_load(self, load: work.Load, now: float) -> None:
         """Take what an answer said; what is not ours is the others'."""
--- a/tests/engine_fleet.py
+++ b/tests/engine_fleet.py
@@ -14,11 +14,12 @@
 from cairnloom.routing import desk
 from cairnloom.routing import instances
 from cairnloom.routing import placing
+from cairnloom.routing import routes
 from cairnloom.routing import trackers
 from cairnloom.routing import work
 
 RATE = 40000.0
-MEMORY = 550000
+MODEL = routes.EngineModel(64, 550000, 163840, 2e11)
 ROOM = 450000
 TARGETS = placing.Targets(first_answer=0.6, pause=0.15)
 # When callers leave, and how long an answer takes after its first token.
@@ -103,7 +104,7 @@
             known,
             placing.Placer(known, 'a'),
             self.directory,
-            lambda service: MEMORY,
+            lambda service: MODEL,
         )
 
     def lose(self, domain):
@@ -151,7 +152,10 @@
         self.engines[placed.answering].keep(asked)
         read = desk.Note(name, 'read', done - now)
         ended = desk.Note(name, 'ended')
-        self._at(done + NOTE_SECONDS, place.note, read)
+        begun = desk.Note(name, 'begun')
+        if placed.apart:
+            self._at(done + NOTE_SECONDS, place.note, read)
+        self._at(done + 2 * NOTE_SECONDS, place.note, begun)
         self._at(done + ANSWER_SECONDS, place.note, ended)
 
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -38,7 +38,7 @@
 def test_parts_outlive_the_engines_of_a_domain(monkeypatch):
     losses = [(WARM_AT, 'b')]
     kept = replay(losses=losses)
-    monkeypatch.setattr(placing, 'HOME_BONUS', 0.0)
+    monkeypatch.setattr(placing, 'HOME_SECONDS', 0.0)
     scattered = replay(losses=losses)
     assert kept.in_time(TARGET, WARM_AT) > scattered.in_time(TARGET, WARM_AT)
     assert kept.tokens_read < scattered.tokens_read
@@ -57,8 +57,7 @@
     home = usable.find_home(ask.shared)
     if home is None:
         return None
-    tokens = ask.asked.prompt_tokens
-    return placing.Reading(home.instance, home.tracker, 0.1, tokens, None)
+    return placing.Reading(home, 0.1, 0.1, ask.asked.prompt_tokens)
 
 
 def test_prompt_goes_where_its_parts_are():
@@ -104,36 +103,38 @@
         asked,
         engine_fleet.TARGETS,
         0,
+        engine_fleet.MODEL,
         0.0,
     )
 
 
 def test_short_prompt_is_read_by_who_answers(placer):
-    assert not plan(placer, ask(1000)).apart
+    assert plan(placer, ask(1000)).answering is None
 
 
 def test_long_prompt_is_read_apart(placer):
-    assert plan(placer, ask(10000)).apart
+    assert plan(placer, ask(10000)).answering is not None
 
 
 def test_long_prompt_is_read_by_who_answers_where_readers_are_full(
     placer, known
 ):
     known.of(engine('p0', 'prefill')).add_pending(0, 200000)
-    assert not plan(placer, ask(10000)).apart
+    assert plan(placer, ask(10000)).answering is None
 
 
 def test_request_is_placed_without_readers_and_not_without_answerers(placer):
-    assert not plan(placer, ask(10000), reading=0).apart
+    assert plan(placer, ask(10000), reading=0).answering is None
     assert plan(placer, ask(10000), answering=0) is None
 
 
 def test_engine_that_failed_is_passed_over_for_a_while(placer, known):
     asked = ask(10000)
-    first = plan(placer, asked, reading=2).reading.instance
+    first = plan(placer, asked, reading=2).reading.engine.instance
     known.of(first).note_failure(0.0)
-    assert plan(placer, asked, reading=2).reading.instance != first
-    assert plan(placer, asked, reading=1).apart
+    other = plan(placer, asked, reading=2).reading.engine.instance
+    assert other != first
+    assert plan(placer, asked, reading=1).answering is not None
 
 
 def test_cached_parts_are_fetched_from_who_holds_them(placer, known):
@@ -141,7 +142,7 @@
     known.of(engine('w0', 'decode')).note_parts((shared,))
     found = plan(placer, ask(21000, shared, work.Part('y', 1000)))
     assert found.reading.new_tokens == 1000
-    if found.apart:
+    if found.answering is not None:
         assert found.reading.neighbour.name == 'w0'
 
 
