Keep prompts from holding up the answers beside them; expect handovers rightly

Prompts that are read by the engine that answers go between the steps of its other answers, and the rule on how many tokens that may be looked at each prompt alone, not at all that wait there. The way to the answering engine was expected at 0.14 s where it took 0.03: caches that were still to be read counted as on their way, and one slow handover of many set the pace.

--- a/src/cairnloom/entry/attempts.py
+++ b/src/cairnloom/entry/attempts.py
@@ -242,6 +242,7 @@
             request.caller.hold_up(
                 self._exchanged.pause, self._exchanged.resume
             )
+        request.note_event()
         request.caller.write(event.data)
         return ''
 
@@ -249,5 +250,4 @@
         request = self._request
         seconds = request.host.now() - request.began
         request.host.metrics.time('first_event', seconds)
-        request.first_event_seconds = seconds
         request.caller.begin(head.status, list(head.headers))
--- a/src/cairnloom/entry/forwarding.py
+++ b/src/cairnloom/entry/forwarding.py
@@ -140,5 +140,6 @@
             status=self._caller.status,
             attempts=request.arrivals,
             first=None if first is None else round(first, 4),
+            pause=round(request.longest_pause, 4),
             seconds=round(seconds, 4),
         )
--- a/src/cairnloom/entry/generation.py
+++ b/src/cairnloom/entry/generation.py
@@ -181,7 +181,7 @@
             'prompt_read',
             request=request.asked.request_id,
             endpoint=reading.name,
-            expected=round(placement.seconds, 3),
+            expected=round(placement.reading_seconds, 3),
             seconds=round(seconds, 3),
             new_tokens=placement.new_tokens,
         )
--- a/src/cairnloom/entry/requests.py
+++ b/src/cairnloom/entry/requests.py
@@ -46,6 +46,8 @@
         self.ran = 0
         self.last_event = asked.last_event
         self.first_event_seconds: float | None = None
+        self.longest_pause = 0.0
+        self._event_at = 0.0
         self._counted = False
 
     @property
@@ -89,6 +91,16 @@
             if item.role in (role, '') and item.name not in tried
         ]
 
+    def note_event(self) -> None:
+        """Note that an event of the answer is passed on."""
+        now = self.host.now()
+        if self.first_event_seconds is None:
+            self.first_event_seconds = now - self.began
+        else:
+            pause = now - self._event_at
+            self.longest_pause = max(self.longest_pause, pause)
+        self._event_at = now
+
     def count_run(self, at: float) -> None:
         """Count it for its team, once, when an endpoint began it."""
         if not self._counted and self.team is not None:
--- a/src/cairnloom/routing/desk.py
+++ b/src/cairnloom/routing/desk.py
@@ -53,7 +53,8 @@
 
     Where it is read ``apart``, ``answering`` is another engine. Parts that
     ``neighbour`` has cached are fetched from there. ``seconds`` is how long
-    the reading should take.
+    it should take until the first event, ``reading_seconds`` until the prompt
+    is read.
     """
 
     reading: str
@@ -61,6 +62,7 @@
     apart: bool
     neighbour: str
     seconds: float
+    reading_seconds: float
     new_tokens: int
 
 
@@ -209,14 +211,20 @@
         holder = self._directory.find(ask.cache_at)
         domain = holder.failure_domain if holder else ''
         taker = self._placer.choose_answering(
-            engines.answering, ask.work, domain, model, now
+            engines.answering,
+            ask.work,
+            domain,
+            0.0,
+            float('inf'),
+            model,
+            now,
         )
         if taker is None:
             return Refused('no engine')
         self._keep(host, ask, None, taker.engine.tracker, taker, now)
         self._begin_taking(self._reserved[ask.request], now)
         name = taker.engine.instance.name
-        return Placement(ask.cache_at, name, True, '', taker.seconds, 0)
+        return Placement(ask.cache_at, name, True, '', taker.seconds, 0.0, 0)
 
     def _reserve(
         self,
@@ -238,6 +246,7 @@
             taker is not None,
             reading.neighbour.name if reading.neighbour else '',
             plan.seconds,
+            reading.seconds,
             reading.new_tokens,
         )
 
--- a/src/cairnloom/routing/placing.py
+++ b/src/cairnloom/routing/placing.py
@@ -29,7 +29,11 @@
 RATE_LEAST_TOKENS = 3000
 # The part of the longest pause between events that a prompt may take from the
 # answers beside which it is read.
-PAUSE_SHARE = 0.5
+PAUSE_SHARE = 0.65
+# What an answer that is held up beyond its longest pause counts, as if the
+# request that holds it up waited longer, and for how many answers at most.
+HARM_SECONDS = 0.3
+MOST_HARMED = 3
 # What the way over two engines adds, in seconds.
 HANDOVER_SECONDS = 0.03
 # What another failure domain adds to the load of an endpoint, in requests.
@@ -68,6 +72,8 @@
     """Where a prompt is read, and how long that should take in seconds.
 
     ``usual`` leaves out what the engine is slower or faster than others.
+    ``harm`` is how much longer the answers that are generated beside it are
+    held up, in seconds.
     """
 
     engine: trackers.Tracked
@@ -75,6 +81,7 @@
     usual: float
     new_tokens: int
     neighbour: instances.Instance | None = None
+    harm: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -167,10 +174,16 @@
         answering: Group,
         asked: work.Work,
         domain: str,
+        reading_seconds: float,
+        harmless: float,
         model: routes.EngineModel,
         now: float,
     ) -> Answering | None:
-        """Choose where a prompt's cache goes that was read in a domain."""
+        """Choose where the cache of a prompt goes.
+
+        It is read in a failure domain for so many seconds from now; caches
+        that are on their way arrive meanwhile.
+        """
         usable = answering.usable(now)
         if not usable.items:
             return None
@@ -182,12 +195,15 @@
             tracker = item.tracker
             near = item.instance.failure_domain == domain
             way = link if near else FAR_FACTOR * link
-            tokens = tracker.arriving + asked.prompt_tokens
-            usual = HANDOVER_SECONDS + tokens * way
-            seconds = usual * tracker.taking.at(now)
+            pace = tracker.taking.at(now)
+            usual = HANDOVER_SECONDS + asked.prompt_tokens * way
+            ahead = tracker.arriving * way * pace - reading_seconds
+            seconds = max(0.0, ahead) + usual * pace
             rank = seconds + BUSY_SECONDS * tracker.busy(now)
             if item is home:
                 rank -= HOME_SECONDS
+            if tracker.pending_tokens() > harmless:
+                rank += HARM_SECONDS
             if rank < least:
                 best, least = Answering(item, seconds, usual), rank
         return best
@@ -209,7 +225,8 @@
             itertools.chain(reading.items, answering.items), shared
         )
         ask = _Ask(asked, shared, urgency, holder, held, now)
-        beside = self._choose_reading(answering, ask, IN_PLACE_SPEED)
+        harmless = PAUSE_SHARE * targets.pause * self.rate * IN_PLACE_SPEED
+        beside = self._choose_reading(answering, ask, IN_PLACE_SPEED, harmless)
         if beside is None:
             return None
         alone = Plan(beside, None, beside.seconds)
@@ -217,14 +234,18 @@
         if apart is None:
             return alone
         domain = apart.engine.instance.failure_domain
-        taker = self.choose_answering(answering, asked, domain, model, now)
+        taker = self.choose_answering(
+            answering, asked, domain, apart.seconds, harmless, model, now
+        )
         if taker is None:
             return alone
         seconds = apart.seconds + taker.seconds
-        taken = beside.new_tokens / (self.rate * IN_PLACE_SPEED)
-        if taken <= PAUSE_SHARE * targets.pause and beside.seconds <= seconds:
-            return alone
-        if seconds > targets.first_answer and beside.seconds < seconds:
+        # What others would wait longer counts as if this one did.
+        whole = beside.seconds + beside.harm
+        if not beside.harm and beside.new_tokens <= harmless:
+            if whole <= seconds:
+                return alone
+        elif seconds > targets.first_answer and whole < seconds:
             return alone
         return Plan(apart, taker, seconds)
 
@@ -235,7 +256,11 @@
             self.rate += RATE_STEP * (tokens / reading - self.rate)
 
     def _choose_reading(
-        self, usable: Group, ask: '_Ask', speed: float
+        self,
+        usable: Group,
+        ask: '_Ask',
+        speed: float,
+        harmless: float = float('inf'),
     ) -> Reading | None:
         if not usable.items:
             return None
@@ -244,6 +269,7 @@
         tokens = ask.asked.prompt_tokens
         best = usable.items[0]
         least = best_usual = float('inf')
+        best_harm = 0.0
         for item in usable.items:
             tracker = item.tracker
             here = ask.cached(tracker)
@@ -254,16 +280,23 @@
             elif not here and ask.shared and item is not home:
                 usual += AWAY_SECONDS
             queued = tracker.queued_tokens(ask.urgency, ask.now)
-            usual += (queued + max(0, tokens - here)) / rate
+            queued += max(0, tokens - here)
+            usual += queued / rate
             seconds = usual * tracker.reading.at(ask.now)
-            if seconds < least:
-                best, least, best_usual = item, seconds, usual
+            harm = 0.0
+            if queued > harmless:
+                harm = HARM_SECONDS * min(MOST_HARMED, tracker.streams())
+            if seconds + harm < least:
+                best, least = item, seconds + harm
+                best_usual, best_harm = usual, harm
         here = ask.cached(best.tracker)
         neighbour = None
         if ask.held > here and ask.holder is not None:
             neighbour, here = ask.holder.instance, ask.held
         new = max(0, tokens - here)
-        return Reading(best, least, best_usual, new, neighbour)
+        return Reading(
+            best, least - best_harm, best_usual, new, neighbour, best_harm
+        )
 
     def _pressure(self, item: trackers.Tracked, now: float) -> float:
         instance = item.instance
--- a/src/cairnloom/routing/trackers.py
+++ b/src/cairnloom/routing/trackers.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+import statistics
 
 from . import instances
 from . import work
@@ -16,9 +17,9 @@
 LONGEST_PAUSE_SECONDS = 4.0
 # What an answer told of an endpoint's load fades within this time.
 LOAD_FADES_SECONDS = 0.4
-# Weight of one request in the pace of an engine, and within which bounds it
+# How many requests tell the pace of an engine, and within which bounds each
 # counts.
-PACE_STEP = 0.3
+PACE_SAMPLES = 5
 LEAST_PACE = 0.5
 MOST_PACE = 20.0
 # A pace that nothing confirms loses half of its effect in this time.
@@ -26,7 +27,7 @@
 # What takes so many times as long as expected, and so much longer, is taken
 # to stand still.
 STUCK_FACTOR = 2.0
-STUCK_SECONDS = 0.1
+STUCK_SECONDS = 0.3
 # Tokens that an engine is taken to cache until its service is known.
 UNKNOWN_ROOM = 200000
 
@@ -44,16 +45,21 @@
     """How long an activity at an engine takes, against what is expected.
 
     Answers engines and links that turn slow, or stand still, while they look
-    healthy. The factor returns to 1 when nothing more is heard.
+    healthy. The factor is the median of the last few, so that one that took
+    long says little; it returns to 1 when nothing more is heard.
 
     >>> pace = Pace()
-    >>> pace.begin('a', 0.1, now=0.0)
-    >>> pace.end('a', now=0.4)
+    >>> for number in range(5):
+    ...     pace.begin('a', 0.1, now=0.0)
+    ...     pace.end('a', now=0.4)
     >>> round(pace.at(0.4), 2)
-    1.9
+    4.0
     """
 
     def __init__(self) -> None:
+        self._taken: collections.deque[float] = collections.deque(
+            maxlen=PACE_SAMPLES
+        )
         self._factor = 1.0
         self._noted_at = float('-inf')
         self._under_way: dict[str, tuple[float, float]] = {}
@@ -68,11 +74,15 @@
         if began is None:
             return
         taken = (now - began[0]) / began[1]
-        taken = min(max(taken, LEAST_PACE), MOST_PACE)
-        factor = self._fade(now)
-        self._factor = factor + PACE_STEP * (taken - factor)
+        self._taken.append(min(max(taken, LEAST_PACE), MOST_PACE))
+        if len(self._taken) == PACE_SAMPLES:
+            self._factor = statistics.median(self._taken)
         self._noted_at = now
 
+    def count(self) -> int:
+        """Return how many requests are under way."""
+        return len(self._under_way)
+
     def drop(self, request: str) -> None:
         """Forget a request that is not waited for any more."""
         self._under_way.pop(request, None)
@@ -137,6 +147,10 @@
         )
         return self.running + max(told, self.others * fade)
 
+    def streams(self) -> int:
+        """Return how many answers are generated, or soon will be."""
+        return max(0, self.running - self.reading.count())
+
     def add_pending(self, urgency: int, tokens: int) -> None:
         """Note prompt tokens that were sent, or read where negative."""
         left = self.pending.get(urgency, 0) + tokens
@@ -145,6 +159,10 @@
         else:
             self.pending.pop(urgency, None)
 
+    def pending_tokens(self) -> int:
+        """Return all prompt tokens that were sent and not read yet."""
+        return sum(self.pending.values()) if self.pending else 0
+
     def queued_tokens(self, urgency: int, now: float) -> int:
         """Estimate the prompt tokens that are read before a new one."""
         total = _sum_ahead(self.pending, urgency) if self.pending else 0
--- a/tests/engine_fleet.py
+++ b/tests/engine_fleet.py
@@ -25,16 +25,26 @@
 # When callers leave, and how long an answer takes after its first token.
 PATIENCE = 2.4
 ANSWER_SECONDS = 0.15
+# What the longest pause leaves for reading prompts beside an answer.
+PAUSE_LEFT = TARGETS.pause - 0.035
+GAP_SECONDS = 0.005
 # How long a desk does not know that a prompt was read.
 NOTE_SECONDS = 0.04
 
 
 @dataclasses.dataclass
 class Engine:
-    """One engine: when it is free, and which parts it has cached."""
+    """One engine: when it is free, and which parts it has cached.
+
+    ``slow`` is how many times as long caches take on their way to it.
+    """
 
     instance: instances.Instance
     free_at: float = 0.0
+    link_free_at: float = 0.0
+    slow: float = 1.0
+    readings: list = dataclasses.field(default_factory=list)
+    answers: list = dataclasses.field(default_factory=list)
     parts: collections.OrderedDict = dataclasses.field(
         default_factory=collections.OrderedDict
     )
@@ -52,9 +62,27 @@
             new -= part.tokens
         start = max(now, self.free_at)
         self.free_at = start + new / (RATE * speed)
+        self.readings.append((start, self.free_at))
         self.keep(asked)
         return self.free_at + placing.PROMPT_SECONDS, new
 
+    def take(self, asked, now):
+        """Take a prompt's cache; return when it is there."""
+        start = max(now, self.link_free_at)
+        way = MODEL.token_bytes / MODEL.link_bytes_per_second
+        self.link_free_at = start + asked.prompt_tokens * way * self.slow
+        return self.link_free_at + placing.HANDOVER_SECONDS
+
+    def count_held_up(self):
+        """Return how many answers waited too long for prompts beside them."""
+        return sum(
+            any(
+                min(end, read_end) - max(start, read_start) > PAUSE_LEFT
+                for read_start, read_end in merge(self.readings)
+            )
+            for start, end in self.answers
+        )
+
     def keep(self, asked):
         """Keep a prompt's parts; the least recently used yield."""
         for part in asked.parts:
@@ -64,6 +92,17 @@
             self.parts.popitem(last=False)
 
 
+def merge(spans):
+    """Join spans of time that follow each other without a gap."""
+    joined = []
+    for start, end in sorted(spans):
+        if joined and start <= joined[-1][1] + GAP_SECONDS:
+            joined[-1] = (joined[-1][0], max(end, joined[-1][1]))
+        else:
+            joined.append((start, end))
+    return joined
+
+
 class Fleet:
     """Desks and engines, and the time of every first token.
 
@@ -148,15 +187,29 @@
         neighbour = self.engines.get(placed.neighbour)
         done, new = engine.read(asked, neighbour, now)
         self.tokens_read += new
-        self.waits.append((now, done - now))
-        self.engines[placed.answering].keep(asked)
-        read = desk.Note(name, 'read', done - now)
-        ended = desk.Note(name, 'ended')
-        begun = desk.Note(name, 'begun')
+        self._at(done, self._answer, (place, name, asked, placed, now))
+
+    def _answer(self, answered, now):
+        place, name, asked, placed, began = answered
+        engine = self.engines.get(placed.answering)
+        if engine is None:
+            place.note(desk.Note(name, 'ended'), now)
+            return
+        first = now
         if placed.apart:
-            self._at(done + NOTE_SECONDS, place.note, read)
-        self._at(done + 2 * NOTE_SECONDS, place.note, begun)
-        self._at(done + ANSWER_SECONDS, place.note, ended)
+            engine.keep(asked)
+            first = engine.take(asked, now)
+            read = desk.Note(name, 'read', now - began)
+            self._at(now + NOTE_SECONDS, place.note, read)
+        end = first + ANSWER_SECONDS
+        self.waits.append((began, first - began))
+        engine.answers.append((first, end))
+        self._at(first + NOTE_SECONDS, place.note, desk.Note(name, 'begun'))
+        self._at(end + NOTE_SECONDS, place.note, desk.Note(name, 'ended'))
+
+    def count_held_up(self):
+        """Return how many answers were late between their events."""
+        return sum(item.count_held_up() for item in self.engines.values())
 
 
 def make_arrivals(seconds, per_second, subjects, shared, own, seed=2):
--- /dev/null
+++ b/tests/test_desk.py
@@ -0,0 +1,160 @@
+"""What the desk keeps of requests that were placed."""
+
+import pytest
+
+from cairnloom.routing import desk
+from cairnloom.routing import instances
+from cairnloom.routing import placing
+from cairnloom.routing import routes
+from cairnloom.routing import trackers
+from cairnloom.routing import work
+
+MODEL = routes.EngineModel(64, 500000, 160000, 2e11)
+TARGETS = placing.Targets(0.6, 0.15)
+SHARED = work.Part('shared', 12000)
+
+
+class Place:
+    """A desk beside its engines."""
+
+    def __init__(self, *engines):
+        self.known = trackers.Trackers()
+        self.directory = instances.Directory()
+        for version, (name, role) in enumerate(engines, 1):
+            item = instances.Instance(
+                name, 's', '10.0.0.1', version, 'a', role=role, slots=64
+            )
+            self.directory.apply(instances.Change(name, version, item), 0.0)
+        self.desk = desk.Desk(
+            self.known,
+            placing.Placer(self.known, 'a'),
+            self.directory,
+            lambda service: MODEL,
+        )
+
+    def ask(self, name='r1', tokens=16000, left=2.4, now=0.0, **more):
+        own = work.Part('own-' + name, tokens - SHARED.tokens)
+        asked = work.Work('m', tokens, 20, (SHARED, own))
+        ask = desk.Ask(name, 's', asked, TARGETS, 1, left, **more)
+        return self.desk.place('host-1', ask, now)
+
+    def note(self, kind, name='r1', now=0.5, **more):
+        self.desk.note(desk.Note(name, kind, **more), now)
+
+    def idle(self):
+        """Tell whether nothing is left under way anywhere."""
+        return all(
+            not item.running
+            and not item.pending
+            and not item.arriving
+            and not item.reading.count()
+            and not item.taking.count()
+            for item in self.known._known.values()
+        )
+
+
+@pytest.fixture
+def place():
+    return Place(('p1', 'prefill'), ('p2', 'prefill'), ('w1', 'decode'))
+
+
+def test_request_is_under_way_until_it_ended(place):
+    placed = place.ask()
+    reader = place.known.named(placed.reading)
+    answerer = place.known.named(placed.answering)
+    assert placed.apart
+    assert (reader.running, reader.pending) == (1, {1: placed.new_tokens})
+    place.note('read', seconds=0.4)
+    assert (reader.running, reader.pending) == (0, {})
+    assert answerer.arriving == 16000
+    place.note('begun')
+    assert (answerer.arriving, answerer.running) == (0, 1)
+    place.note('ended')
+    assert place.idle()
+
+
+@pytest.mark.parametrize(
+    'kinds',
+    [
+        ['ended'],
+        ['read', 'ended'],
+        ['begun', 'read', 'ended'],
+        ['begun', 'ended', 'read'],
+        ['read', 'read', 'begun', 'begun', 'ended', 'ended'],
+        ['failed', 'ended'],
+    ],
+)
+def test_nothing_is_left_whatever_is_told_in_which_order(place, kinds):
+    place.ask()
+    for kind in kinds:
+        place.note(kind)
+    assert place.idle()
+
+
+def test_request_that_is_placed_again_counts_once(place):
+    place.ask()
+    place.note('read')
+    place.ask(cache_at='p1')
+    place.ask(cache_at='p1')
+    place.note('begun')
+    place.note('ended')
+    assert place.idle()
+
+
+def test_request_whose_end_is_never_told_is_forgotten(place):
+    place.ask()
+    place.desk.expire(desk.FORGOTTEN_SECONDS - 0.1)
+    assert not place.idle()
+    place.desk.expire(desk.FORGOTTEN_SECONDS)
+    assert place.idle()
+
+
+def test_requests_of_a_host_that_is_gone_are_forgotten(place):
+    place.ask()
+    place.desk.forget_host('host-2')
+    assert not place.idle()
+    place.desk.forget_host('host-1')
+    assert place.idle()
+
+
+def test_next_request_goes_where_nothing_is_under_way(place):
+    first = place.ask('r1')
+    second = place.ask('r2', tokens=40000)
+    assert first.reading != second.reading
+
+
+def test_request_that_comes_too_late_is_refused_at_once(place):
+    for number in range(20):
+        place.ask('r%d' % number, tokens=30000, left=60.0)
+    refused = place.ask('late', tokens=30000)
+    assert refused.reason == 'too late'
+    assert refused.late > 0
+    # A small part of an answer was sent: it must go on.
+    assert isinstance(
+        place.ask('resumed', resumes=True, left=0.1), desk.Placement
+    )
+
+
+def test_engines_that_were_tried_are_not_chosen(place):
+    assert place.ask(tried=['p1', 'p2']).reading == 'w1'
+    assert place.ask(tried=['p1', 'p2', 'w1']).reason == 'no engine'
+
+
+def test_engines_to_avoid_are_chosen_where_there_are_no_others(place):
+    first = place.ask()
+    second = place.ask(avoided=[first.reading])
+    assert second.reading != first.reading
+    assert place.ask(avoided=['p1', 'p2', 'w1']).answering == 'w1'
+
+
+def test_engine_that_failed_is_passed_over_for_the_next_request(place):
+    first = place.ask()
+    place.note('failed', failed=first.reading, now=0.0)
+    place.note('ended', now=0.0)
+    assert place.ask('r2', now=0.1).reading != first.reading
+
+
+def test_engine_that_left_is_not_chosen(place):
+    placed = place.ask()
+    place.directory.drop(placed.reading, 99)
+    assert place.ask('r2').reading != placed.reading
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -44,6 +44,54 @@
     assert kept.tokens_read < scattered.tokens_read
 
 
+def test_answers_are_not_held_up_by_prompts_beside_them(monkeypatch):
+    careful = replay(per_second=24)
+    monkeypatch.setattr(placing, 'HARM_SECONDS', 0.0)
+    monkeypatch.setattr(placing, 'PAUSE_SHARE', 100.0)
+    careless = replay(per_second=24)
+    assert careful.count_held_up() < careless.count_held_up() / 2
+
+
+def test_engine_whose_link_turned_slow_is_passed_over(monkeypatch):
+    def play():
+        fleet = engine_fleet.Fleet(1, engines=12)
+        fleet.engines['e0'].slow = 40.0
+        fleet.engines['e2'].slow = 40.0
+        fleet.run(engine_fleet.make_arrivals(40, 16, **LONG))
+        return fleet.in_time(TARGET)
+
+    learned = play()
+    monkeypatch.setattr(trackers.Pace, 'at', lambda self, now: 1.0)
+    assert learned > play() + 0.05
+
+
+def test_pace_is_told_by_most_and_not_by_one():
+    pace = trackers.Pace()
+    for number, taken in enumerate([0.1, 0.1, 0.1, 0.1, 0.9]):
+        pace.begin('a', 0.1, float(number))
+        pace.end('a', number + taken)
+    assert pace.at(4.9) == pytest.approx(1.0)
+
+
+def test_pace_that_nothing_confirms_is_forgotten():
+    pace = trackers.Pace()
+    for _ in range(trackers.PACE_SAMPLES):
+        pace.begin('a', 0.1, 0.0)
+        pace.end('a', 0.8)
+    assert pace.at(0.8) == pytest.approx(8.0)
+    later = 0.8 + 10 * trackers.PACE_HALF_LIFE_SECONDS
+    assert pace.at(later) == pytest.approx(1.0, abs=0.01)
+
+
+def test_engine_that_stands_still_is_noticed_before_it_answers():
+    pace = trackers.Pace()
+    pace.begin('a', 0.1, 0.0)
+    assert pace.at(0.2) == 1.0
+    assert pace.at(1.0) == pytest.approx(10.0)
+    pace.drop('a')
+    assert pace.at(1.0) == 1.0
+
+
 def test_surge_is_spread_over_readers_and_answerers(monkeypatch):
     spread = replay(per_second=30)
     monkeypatch.setattr(
@@ -53,7 +101,7 @@
     assert spread.in_time(TARGET) > homes.in_time(TARGET)
 
 
-def _choose_at_home_only(self, usable, ask, speed):
+def _choose_at_home_only(self, usable, ask, speed, harmless=0.0):
     home = usable.find_home(ask.shared)
     if home is None:
         return None
