Send usage that is written while the store is away; wait for lost hosts

Figures that are written are kept with the lease and sent without the store. After the loss of a host that did not say it leaves, a window waits until 3 s before it is due.

--- a/src/cairnloom/entry/duties.py
+++ b/src/cairnloom/entry/duties.py
@@ -74,9 +74,10 @@
             return
         host = self._host
         now = host.now()
-        await self._reporter.work(
-            now + host.clock.offset, now - host.store_back_at, proof
+        calm = reporting.Calm(
+            now - host.store_back_at, now - host.members.lost_at
         )
+        await self._reporter.work(now + host.clock.offset, calm, proof)
         table = host.knowledge.table
         if table is None or not host.knowledge.directory.loaded:
             return
--- a/src/cairnloom/entry/members.py
+++ b/src/cairnloom/entry/members.py
@@ -60,11 +60,15 @@
 
 
 class Members:
-    """Keep the rows of hosts, and rank them."""
+    """Keep the rows of hosts, and rank them.
+
+    ``lost_at`` is when a host was last dropped that did not say it leaves.
+    """
 
     def __init__(self, me: HostRow) -> None:
         self.me = me
         self.revision = 0
+        self.lost_at = float('-inf')
         self._known: dict[str, _Known] = {}
         self._passed_over: dict[str, float] = {}
         self._order: list[HostRow] | None = None
@@ -95,7 +99,8 @@
             if now - known.at > patience
         ]
         for host in gone:
-            del self._known[host]
+            if not self._known.pop(host).row.leaving:
+                self.lost_at = now
             self._passed_over.pop(host, None)
             self._note_change()
         return gone
--- a/tests/test_reporting.py
+++ b/tests/test_reporting.py
@@ -8,6 +8,7 @@
 from cairnloom.coordination import rows
 from cairnloom.entry import reporting
 from cairnloom.entry import settings
+from cairnloom import exceptions
 from cairnloom.runtime import runner
 
 PROOF = leases.Authority(1, rows.Check('leases/duties', 1))
@@ -15,12 +16,15 @@
 
 
 class Table:
-    """Rows in memory that are always there."""
+    """Rows in memory, which may be out of reach."""
 
     def __init__(self):
         self.rows = {}
+        self.down = False
 
     async def read(self, key):
+        if self.down:
+            return expression.Error(exceptions.PlatformError('down'))
         return expression.Ok(self.rows.get(key, rows.Row(key)))
 
     async def scan(self, prefix, after=''):
@@ -48,16 +52,21 @@
 
     def __init__(self):
         self.sent = []
+        self.refuses = False
+        self.table = Table()
         self.reporter = reporting.Reporter(
-            'host-1.a', BOUNDS, self, runner.Runner(Table(), Clock())
+            'host-1.a', BOUNDS, self, runner.Runner(self.table, Clock())
         )
 
     async def report_usage(self, window, fence, counts):
+        if self.refuses:
+            raise exceptions.PlatformError('away')
         self.sent.append(window)
 
-    def work(self, true_now, store_back=1000.0):
+    def work(self, true_now, store_back=1000.0, lost_host=1000.0):
+        calm = reporting.Calm(store_back, lost_host)
         done = defer.Deferred.fromCoroutine(
-            self.reporter.work(true_now, store_back, lambda: PROOF)
+            self.reporter.work(true_now, calm, lambda: PROOF)
         )
         failed = []
         done.addErrback(failed.append)
@@ -87,3 +96,31 @@
 
 def test_window_that_is_almost_due_does_not_wait(reports):
     assert reports.work(108.6, store_back=0.1) == [19]
+
+
+def test_figures_that_are_written_are_sent_while_the_store_is_away(reports):
+    """The holder had them, and a window was missed."""
+    reports.refuses = True
+    assert reports.work(104.1) == []
+    reports.refuses = False
+    reports.table.down = True
+    assert reports.work(105.0) == [19]
+    reports.table.down = False
+    assert reports.work(105.5) == [19]
+    assert reports.work(109.2) == [19, 20]
+
+
+def test_figures_are_forgotten_with_the_lease(reports):
+    reports.refuses = True
+    reports.work(104.1)
+    reports.reporter.rest()
+    reports.refuses = False
+    reports.table.down = True
+    assert reports.work(105.0) == []
+
+
+def test_window_waits_for_a_host_that_may_only_stand_still(reports):
+    """A host that was frozen had a part of 67 requests, and it was missed."""
+    assert reports.work(104.5, lost_host=2.0) == []
+    assert reports.work(106.9, lost_host=4.4) == []
+    assert reports.work(107.1, lost_host=4.6) == [19]
