Count runs whose answer is lost, or whose caller left after they began

A run now counts once the time has passed at which its endpoint should have begun it, also where nothing more is heard.

--- a/src/cairnloom/entry/attempts.py
+++ b/src/cairnloom/entry/attempts.py
@@ -24,12 +24,15 @@
     request: requests.Request,
     instance: instances.Instance,
     phase: work.Phase,
+    begins_in: float = 0.0,
     when_accepted: Callable[[], None] = lambda: None,
     when_begun: Callable[[], None] = lambda: None,
 ) -> outcomes.Outcome:
     """Have an endpoint answer a request, and pass its answer on.
 
-    ``when_accepted`` is called when the endpoint begins to answer a stream,
+    The endpoint should begin to run it in ``begins_in`` seconds; where nothing
+    more is heard of it, it counts as run after that. ``when_accepted`` is
+    called when the endpoint begins to answer a stream,
     ``when_begun`` with the first event.
     """
     host = request.host
@@ -37,16 +40,23 @@
         return outcomes.Withheld('retry budget')
     tracker = host.trackers.of(instance)
     request.arrivals += 1
-    if request.route.kind == 'stream':
-        outcome = await _Stream(
-            request, instance, when_accepted, when_begun
-        ).run(phase)
-    else:
-        tracker.running += 1
-        try:
-            outcome = await _fetch(request, instance, phase)
-        finally:
-            tracker.running -= 1
+    begins_at = host.now() + begins_in
+    outcome: outcomes.Outcome | None = None
+    try:
+        if request.route.kind == 'stream':
+            outcome = await _Stream(
+                request, instance, when_accepted, when_begun
+            ).run(phase)
+        else:
+            tracker.running += 1
+            try:
+                outcome = await _fetch(request, instance, phase)
+            finally:
+                tracker.running -= 1
+    finally:
+        silent = outcome is None or isinstance(outcome, outcomes.Failed)
+        if silent and host.now() > begins_at:
+            request.count_run(begins_at)
     match outcome:
         case outcomes.Failed(reason=reason):
             if outcome.broken:
--- a/src/cairnloom/entry/generation.py
+++ b/src/cairnloom/entry/generation.py
@@ -106,14 +106,17 @@
         if answering is None:
             return self._lose(placement.answering)
         phase: work.Phase = work.Whole(self._locate(placement.neighbour))
+        begins_in = placement.seconds
         if self._handle is not None:
             holder, handle = self._handle
             phase = work.Decode(holder.place, handle)
+            begins_in -= placement.reading_seconds
         self._tried.add(answering.name)
         outcome = await attempts.send(
             self._request,
             answering,
             phase,
+            begins_in,
             self._note_taken,
             self._note_begun,
         )
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -315,6 +315,31 @@
     assert len(numbers) == len(set(numbers))
 
 
+@pytest.mark.parametrize(
+    'word, path, counted',
+    [
+        ('lose', '/once/', 1),
+        ('hang', '/once/', 1),
+        ('shed', '/once/', 0),
+        # It ended before its prompt can have been read.
+        ('lose', '/chat/x', 0),
+        ('hang', '/chat/x', 1),
+    ],
+)
+def test_run_whose_answer_is_lost_is_counted(world, word, path, counted):
+    """A team had fewer runs on its bill than endpoints had begun."""
+    one, two = desk('d1', [word]), engine('w1', 'decode', [word])
+    system = world(one, two)
+    if path == '/once/':
+        system.call(path, 'POST', b'x', Deadline_Ms='500')
+    else:
+        system.ask_model(path, Deadline_Ms='800')
+    book = system.programs[0]._host.book
+    parts = [part.figures for part in book._parts.values()]
+    found = sum(teams['team-1'].requests for teams in parts if teams)
+    assert found == counted
+
+
 def test_host_that_the_store_refuses_learns_from_a_peer(world):
     system = world(desk(), start=False)
     first = system.start_host('host-1')
