Have the metrics test make its own request

The test leaned on the tests before it in the file. Ruled out: the page itself (the gateway answered 200 and a newline, as it does before the first request). The test now makes a request of its own; alone it failed before and passes after.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -264,6 +264,7 @@
 
 
 def test_metrics_and_health(system):
+    post(system, {'model': 'm', 'messages': MESSAGES})
     status, _, body = processes.call(system.admin('host-1') + '/metrics')
     assert status == 200
     assert b'cairnloom_requests' in body
