Do not tolerate too many reading engines

Two engines had just been told to read when three of five answering ones went (a reclaimed domain, a crash); 5 readers stood beside 3 and then one answering engine for ten seconds, which took 77 of the 131 requests whose callers left. Readers can't answer; engines that answer can read. So a reader too many is told to answer at once, and of an odd number the smaller half reads.

Ruled out: too few engines ordered (all that may be had were), refusal too late (expected first event 0.5 s, as the estimate did not know the engine full).

--- a/src/cairnloom/planning/stages.py
+++ b/src/cairnloom/planning/stages.py
@@ -53,11 +53,11 @@
         if len(ready) < 2:
             return []
         reading = sum(self._role(item) == 'prefill' for item in ready)
-        wanted = round(len(ready) * PREFILL_SHARE)
-        wanted = min(max(wanted, 1), len(ready) - 1)
+        # Who answers can read as well, but not the other way round.
+        wanted = min(max(int(len(ready) * PREFILL_SHARE), 1), len(ready) - 1)
         missing = wanted - reading
         tolerated = int(len(ready) * TOLERANCE_SHARE)
-        if reading not in (0, len(ready)) and abs(missing) <= tolerated:
+        if reading and 0 <= missing <= tolerated:
             return []
         if missing > 0:
             return self._order('decode', 'prefill', missing, ready, now)
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -109,6 +109,18 @@
     assert stages.StagePlanner().plan(engines(5, 7), 3.0, 0.0) == []
 
 
+def test_too_many_readers_are_not_left():
+    """Engines that answer can read as well, but not the other way round.
+
+    Three of five answering engines were lost within seconds, and those that
+    read stood beside one that answered for ten seconds.
+    """
+    for reading in (5, 4):
+        planner = stages.StagePlanner()
+        orders = planner.plan(engines(reading, 3), 3.0, 0.0)
+        assert [order.role for order in orders] == ['decode']
+
+
 def test_some_engine_always_reads_and_some_answers():
     orders = stages.StagePlanner().plan(engines(0, 2), 3.0, 0.0)
     assert [item.role for item in orders] == ['prefill']
