--- a/src/cairnloom/coordination/__init__.py
+++ b/src/cairnloom/coordination/__init__.py
@@ -5,17 +5,8 @@
 socket or a source of random numbers.
 """
 
-from . import actions
-from . import claims
-from . import configuration
-from . import events
-from . import freshness
-from . import leases
-from . import membership
-from . import orders
-from . import rows
-from . import sealing
-from . import usage
+import importlib
+from typing import Any
 
 __all__ = [
     'actions',
@@ -30,3 +21,10 @@
     'sealing',
     'usage',
 ]
+
+
+def __getattr__(name: str) -> Any:
+    """Import a part when it is first used: programs start with few."""
+    if name not in __all__:
+        raise AttributeError(name)
+    return importlib.import_module('.' + name, __name__)
--- a/tests/test_scripts.py
+++ b/tests/test_scripts.py
@@ -6,8 +6,11 @@
 import subprocess
 import sys
 
+import pytest
 from twisted.internet import defer
 
+from cairnloom import coordination
+
 ROOT = pathlib.Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT / 'scripts'))
 
@@ -57,3 +60,25 @@
     defer.Deferred.fromCoroutine(script.finish(steps)).addBoth(done.append)
     assert done == [None]
     assert 'no such process' in script.broken[0]
+
+
+def test_one_process_program_starts_without_the_daemons_parts():
+    """Its start is a good part of the time until all hosts are back."""
+    code = (
+        'import sys; from cairnloom.platform import program;'
+        'print(*(name for name in sys.modules if "cairnloom" in name))'
+    )
+    ended = subprocess.run(
+        [sys.executable, '-c', code], capture_output=True, text=True
+    )
+    loaded = ended.stdout.split()
+    assert 'cairnloom.coordination.leases' in loaded
+    for name in ('claims', 'configuration', 'documents', 'orders'):
+        assert 'cairnloom.coordination.' + name not in loaded
+
+
+def test_every_coordination_part_can_be_reached():
+    for name in coordination.__all__:
+        assert getattr(coordination, name).__name__.endswith(name)
+    with pytest.raises(AttributeError):
+        coordination.nothing
