Learn what engines have cached when placing begins; count their memory

The host that begins to place now asks engines of whose caches nothing is known for a list, once each.

The estimate now adds the time until memory is given back.

--- a/src/cairnloom/entry/places.py
+++ b/src/cairnloom/entry/places.py
@@ -96,6 +96,10 @@
         elif timer.getTime() > self._reactor.seconds() + gather:
             timer.reset(gather)
 
+    def is_mine(self) -> bool:
+        """Tell whether this host places the work of all hosts."""
+        return self._members.hubs()[0].host == self._members.me.host
+
     def _choose(self) -> members.HostRow | None:
         """Return the hub that places, or None where that is this host."""
         now = self._reactor.seconds()
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -30,6 +30,7 @@
 from ..runtime import programs
 from ..runtime import runner
 
+from . import caches
 from . import clocks
 from . import duties
 from . import front
@@ -198,6 +199,11 @@
             programs.Loop(reactor, FLUSH_SECONDS, self._flush),
             programs.Loop(reactor, DUTIES_SECONDS, self._do_duties),
             programs.Loop(reactor, TIDY_SECONDS, self._tidy),
+            programs.Loop(
+                reactor,
+                caches.PERIOD_SECONDS,
+                caches.Caches(self._host, parts.engines, self._desk).work,
+            ),
         ]
         self._ports: dict[str, Any] = {}
         self._followers: list[knowledge.Follower] = []
--- a/src/cairnloom/entry/state.py
+++ b/src/cairnloom/entry/state.py
@@ -56,6 +56,9 @@
     def note(self, note: desk.Note) -> None:
         """Tell what became of a request."""
 
+    def is_mine(self) -> bool:
+        """Tell whether this host places the work of all hosts."""
+
 
 class Engines(Protocol):
     """What engines take apart from callers' requests."""
--- a/src/cairnloom/platform/engines.py
+++ b/src/cairnloom/platform/engines.py
@@ -9,6 +9,7 @@
 from .. import exceptions
 from ..protocol import client
 from ..routing import instances
+from ..routing import work
 
 from . import names
 
@@ -65,6 +66,30 @@
                 'report: %r' % fault, True
             ) from fault
 
+    async def list_cached(
+        self, instance: instances.Instance
+    ) -> list[work.Part]:
+        """List the parts of prompts that an engine has cached.
+
+        Raises :class:`~cairnloom.exceptions.EndpointError`.
+        """
+        reply = await self._call('GET', instance, '/v1/kv-list')
+        try:
+            held = orjson.loads(reply.body)['held']
+            return [
+                work.Part(str(name), int(tokens))
+                for _, name, tokens, *_ in held
+            ]
+        except (
+            orjson.JSONDecodeError,
+            KeyError,
+            TypeError,
+            ValueError,
+        ) as fault:
+            raise exceptions.EndpointError(
+                'cached parts: %r' % fault, True
+            ) from fault
+
     async def change_role(
         self,
         instance: instances.Instance,
--- a/src/cairnloom/routing/desk.py
+++ b/src/cairnloom/routing/desk.py
@@ -108,10 +108,12 @@
     answerer: trackers.Tracker
     taker: placing.Answering | None
     prompt_tokens: int
+    held: int
     new_tokens: int
     urgency: int
     alone: bool
     until: float
+    begun_at: float | None = None
 
 
 class Desk:
@@ -165,9 +167,32 @@
             case 'begun':
                 self._note_read(reserved, 0.0, now)
                 self._note_taken(reserved, now)
+                reserved.begun_at = now
             case 'ended':
+                if reserved.begun_at is not None:
+                    self._placer.note_answer(now - reserved.begun_at)
                 self._release(note.request)
 
+    def list_unknown(self) -> list[tuple[str, instances.Instance]]:
+        """Return engines of whose caches nothing is known, and services."""
+        return [
+            (item.service, item)
+            for item in self._directory.all()
+            if self._model(item.service).memory_tokens
+            and not self._trackers.of(item).parts
+        ]
+
+    def note_cached(
+        self,
+        service: str,
+        instance: instances.Instance,
+        parts: tuple[work.Part, ...],
+    ) -> None:
+        """Take from an engine which parts of prompts it has cached."""
+        if parts:
+            tracked = trackers.Tracked(instance, self._trackers.of(instance))
+            self._take_parts(tracked, parts, self._model(service))
+
     def expire(self, now: float) -> None:
         """Forget requests whose end was never told."""
         for request, reserved in list(self._reserved.items()):
@@ -237,9 +262,9 @@
         reading, taker = plan.reading, plan.answering
         answerer = taker.engine if taker else reading.engine
         self._keep(host, ask, reading, answerer.tracker, taker, now)
-        self._note_parts(reading.engine, ask, model)
+        self._take_parts(reading.engine, ask.work.parts, model)
         if taker is not None:
-            self._note_parts(answerer, ask, model)
+            self._take_parts(answerer, ask.work.parts, model)
         return Placement(
             reading.engine.instance.name,
             answerer.instance.name,
@@ -250,12 +275,15 @@
             reading.new_tokens,
         )
 
-    def _note_parts(
-        self, engine: trackers.Tracked, ask: Ask, model: routes.EngineModel
+    def _take_parts(
+        self,
+        engine: trackers.Tracked,
+        parts: tuple[work.Part, ...],
+        model: routes.EngineModel,
     ) -> None:
         engine.tracker.room = int(model.memory_tokens * CACHE_SHARE)
-        engine.tracker.note_parts(ask.work.parts)
-        self.when_read(engine.instance.name, ask.work.parts)
+        engine.tracker.note_parts(parts)
+        self.when_read(engine.instance.name, parts)
 
     def _keep(
         self,
@@ -267,6 +295,8 @@
         now: float,
     ) -> None:
         answerer.running += 1
+        held = ask.work.prompt_tokens - answerer.cached_tokens(ask.work.parts)
+        answerer.held += held
         reserved = _Reservation(
             host=host,
             request=ask.request,
@@ -274,6 +304,7 @@
             answerer=answerer,
             taker=taker,
             prompt_tokens=ask.work.prompt_tokens,
+            held=held,
             new_tokens=0,
             urgency=ask.urgency,
             alone=False,
@@ -329,6 +360,7 @@
         if reserved is None:
             return
         reserved.answerer.running -= 1
+        reserved.answerer.held -= reserved.held
         if reserved.reader is not None:
             self._end_reading(reserved)
         elif reserved.taker is not None:
--- a/src/cairnloom/routing/placing.py
+++ b/src/cairnloom/routing/placing.py
@@ -1,7 +1,8 @@
 """Choose the endpoints of a request.
 
 Answers load that trades places between long prompts and long answers, and
-engines that vanish a failure domain at a time. A prompt is read where its
+engines that vanish a failure domain at a time, until few are left and their
+memory is what is scarce. A prompt is read where its
 shared parts are cached, or where the queue is shorter, with the parts fetched
 from there. Short prompts are read by the engine that answers, and so is what
 would miss its target in the queue of the engines that only read.
@@ -23,6 +24,10 @@
 IN_PLACE_SPEED = 0.5
 # What an engine takes for any prompt, however short, in seconds.
 PROMPT_SECONDS = 0.055
+# How long an answer is generated, until answers tell, in seconds.
+STARTING_ANSWER_SECONDS = 1.0
+# Weight of one answer in the learned time.
+ANSWER_STEP = 0.05
 # Weight of one answer in the learned rate.
 RATE_STEP = 0.1
 # Shorter prompts say little about the rate.
@@ -155,6 +160,7 @@
         self._trackers = known
         self._domain = domain
         self.rate = STARTING_RATE
+        self.answer_seconds = STARTING_ANSWER_SECONDS
 
     def choose_service(
         self, ready: list[instances.Instance], now: float
@@ -199,6 +205,7 @@
             usual = HANDOVER_SECONDS + asked.prompt_tokens * way
             ahead = tracker.arriving * way * pace - reading_seconds
             seconds = max(0.0, ahead) + usual * pace
+            seconds += self._wait_for_room(tracker, asked, model)
             rank = seconds + BUSY_SECONDS * tracker.busy(now)
             if item is home:
                 rank -= HOME_SECONDS
@@ -224,13 +231,13 @@
         holder, held = _find_holder(
             itertools.chain(reading.items, answering.items), shared
         )
-        ask = _Ask(asked, shared, urgency, holder, held, now)
+        ask = _Ask(asked, shared, urgency, holder, held, model, now)
         harmless = PAUSE_SHARE * targets.pause * self.rate * IN_PLACE_SPEED
-        beside = self._choose_reading(answering, ask, IN_PLACE_SPEED, harmless)
+        beside = self._choose_reading(answering, ask, True, harmless)
         if beside is None:
             return None
         alone = Plan(beside, None, beside.seconds)
-        apart = self._choose_reading(reading, ask, 1.0)
+        apart = self._choose_reading(reading, ask, False)
         if apart is None:
             return alone
         domain = apart.engine.instance.failure_domain
@@ -255,15 +262,37 @@
         if tokens >= RATE_LEAST_TOKENS and reading > 0:
             self.rate += RATE_STEP * (tokens / reading - self.rate)
 
+    def note_answer(self, seconds: float) -> None:
+        """Learn from the time in which an answer was generated."""
+        self.answer_seconds += ANSWER_STEP * (seconds - self.answer_seconds)
+
+    def _wait_for_room(
+        self,
+        tracker: trackers.Tracker,
+        asked: work.Work,
+        model: routes.EngineModel,
+    ) -> float:
+        """Estimate the seconds until an engine has memory for a prompt.
+
+        What is answered there gives all of it back within the time that an
+        answer takes.
+        """
+        new = asked.prompt_tokens - tracker.cached_tokens(asked.parts)
+        over = tracker.held + new - model.memory_tokens
+        if over <= 0 or not model.memory_tokens:
+            return 0.0
+        return self.answer_seconds * over / model.memory_tokens
+
     def _choose_reading(
         self,
         usable: Group,
         ask: '_Ask',
-        speed: float,
+        answers: bool,
         harmless: float = float('inf'),
     ) -> Reading | None:
         if not usable.items:
             return None
+        speed = IN_PLACE_SPEED if answers else 1.0
         home = usable.find_home(ask.shared)
         rate = self.rate * speed
         tokens = ask.asked.prompt_tokens
@@ -283,6 +312,8 @@
             queued += max(0, tokens - here)
             usual += queued / rate
             seconds = usual * tracker.reading.at(ask.now)
+            if answers:
+                seconds += self._wait_for_room(tracker, ask.asked, ask.model)
             harm = 0.0
             if queued > harmless:
                 harm = HARM_SECONDS * min(MOST_HARMED, tracker.streams())
@@ -315,6 +346,7 @@
     urgency: int
     holder: trackers.Tracked | None
     held: int
+    model: routes.EngineModel
     now: float
 
     def cached(self, tracker: trackers.Tracker) -> int:
--- a/src/cairnloom/routing/trackers.py
+++ b/src/cairnloom/routing/trackers.py
@@ -110,8 +110,10 @@
     ``pending`` holds the prompt tokens that were sent and not read yet, by
     urgency, 0 first. ``room`` bounds the tokens of parts that are taken to be
     cached. ``arriving`` counts the tokens of caches that are on their way to
-    it; ``reading`` and ``taking`` tell how fast prompts are read and caches
-    taken. ``begun_at`` is when the newest stream was sent that it has begun.
+    it, ``held`` those that prompts which are answered there added to its
+    memory; ``reading`` and ``taking`` tell how fast prompts are read and
+    caches taken. ``begun_at`` is when the newest stream was sent that it has
+    begun.
     """
 
     running: int = 0
@@ -128,6 +130,7 @@
     )
     part_tokens: int = 0
     arriving: int = 0
+    held: int = 0
     reading: Pace = dataclasses.field(default_factory=Pace)
     taking: Pace = dataclasses.field(default_factory=Pace)
 
--- a/src/cairnloom/standins/atlas.py
+++ b/src/cairnloom/standins/atlas.py
@@ -191,6 +191,8 @@
     handles: set[str] = dataclasses.field(default_factory=set)
     freed: list[str] = dataclasses.field(default_factory=list)
     orders: list[dict[str, Any]] = dataclasses.field(default_factory=list)
+    cached: dict[str, int] = dataclasses.field(default_factory=dict)
+    listed: int = 0
     port: int = 0
     read_seconds: float = 0.0
 
@@ -362,6 +364,13 @@
         path = request.path.decode()
         if path == '/v1/report':
             request.reply(200, self._report())
+        elif path == '/v1/kv-list':
+            self._endpoint.listed += 1
+            held = [
+                ['', name, tokens, '']
+                for name, tokens in self._endpoint.cached.items()
+            ]
+            request.reply(200, {'held': held})
         elif path == '/v1/order':
             self._endpoint.orders.append(orjson.loads(request.text()))
             request.reply(202)
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -47,6 +47,7 @@
             not item.running
             and not item.pending
             and not item.arriving
+            and not item.held
             and not item.reading.count()
             and not item.taking.count()
             for item in self.known._known.values()
@@ -158,3 +159,49 @@
     placed = place.ask()
     place.directory.drop(placed.reading, 99)
     assert place.ask('r2').reading != placed.reading
+
+
+def test_prompt_is_read_where_its_parts_were_cached_before(place):
+    """After the loss of all hosts every prompt was read from its start."""
+    unknown = [item.name for _, item in place.desk.list_unknown()]
+    assert sorted(unknown) == ['p1', 'p2', 'w1']
+    assert place.ask().new_tokens == 16000
+    place.note('ended')
+    for name in ('p1', 'p2'):
+        fresh = Place(('p1', 'prefill'), ('p2', 'prefill'), ('w1', 'decode'))
+        found = fresh.directory.find(name)
+        fresh.desk.note_cached('s', found, (SHARED,))
+        placed = fresh.ask()
+        assert placed.reading == name
+        assert placed.new_tokens == 16000 - SHARED.tokens
+        unknown = [item.name for _, item in fresh.desk.list_unknown()]
+        assert name not in unknown
+
+
+def test_hubs_are_told_what_engines_had_cached(place):
+    told = []
+    place.desk.when_read = lambda name, parts: told.append((name, parts))
+    place.desk.note_cached('s', place.directory.find('p1'), (SHARED,))
+    assert told == [('p1', (SHARED,))]
+
+
+def test_requests_wait_for_the_memory_of_the_last_engine():
+    """One of five was left, and callers left those that it could not hold."""
+    place = Place(('p1', 'prefill'), ('p2', 'prefill'), ('w1', 'decode'))
+    found = []
+    for number in range(160):
+        name = 'r%d' % number
+        found.append(place.ask(name, 24000, now=0.01 * number))
+        if isinstance(found[-1], desk.Placement):
+            place.note('read', name, 0.01 * number)
+            place.note('begun', name, 0.01 * number)
+    first = [one for one in found if isinstance(one, desk.Placement)]
+    # What fits takes no longer than the first, and later ones are refused.
+    fits = MODEL.memory_tokens // (24000 - SHARED.tokens) - 1
+    assert first[fits - 1].seconds < first[0].seconds
+    assert first[fits + 10].seconds > first[fits - 1].seconds + 0.2
+    assert isinstance(found[-1], desk.Refused)
+    for number in range(160):
+        place.note('ended', 'r%d' % number, 3.0)
+    assert place.idle()
+    assert isinstance(place.ask('later', now=3.0), desk.Placement)
--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -485,6 +485,19 @@
     assert staying._host.taken_books == []
 
 
+def test_hub_that_begins_to_place_learns_what_engines_have_cached(started):
+    engine = atlas.Endpoint('w1', 'model', role='decode', cached={'aa': 100})
+    system = started(2, engine, desk_endpoint())
+
+    def knows(number):
+        host = system.programs[number]._host
+        return 'aa' in host.trackers.named('w1').parts
+
+    atlas_world.wait_for(lambda: knows(0) and knows(1))
+    # Each host may have taken itself for the only one at its start.
+    assert 1 <= engine.listed <= 2
+
+
 def test_request_is_placed_where_the_hub_stands_still(started):
     engine = atlas.Endpoint('w1', 'model', role='decode')
     system = started(2, engine, desk_endpoint())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -454,6 +454,24 @@
     assert recorder.sent == snapshot
 
 
+def test_cached_parts_are_decoded():
+    held = {'held': [['', 'aa', 100, 'm'], ['', 'bb', 7, 'm']], 'Next': 9}
+    calls = engines.Engines(Recorder(reply(200, held)), 'host-1')
+    assert finish(calls.list_cached(INSTANCE)) == [
+        work.Part('aa', 100),
+        work.Part('bb', 7),
+    ]
+
+
+@pytest.mark.parametrize(
+    'body', [b'', b'[]', b'{}', b'{"held": 1}', b'{"held": [["", "aa"]]}']
+)
+def test_unreadable_list_of_cached_parts_is_an_error(body):
+    calls = engines.Engines(Recorder(client.Reply(200, body)), 'host-1')
+    with pytest.raises(exceptions.EndpointError):
+        finish(calls.list_cached(INSTANCE))
+
+
 @pytest.mark.parametrize('body', [b'', b'[]', b'{}', b'{"Stage": 1}'])
 def test_unreadable_report_is_an_error(body):
     calls = engines.Engines(Recorder(client.Reply(200, body)), 'host-1')
