Drive usage through a hub in its state machine

Two gateways write at once through a hub, whose calls to the store are refused, lost on either way or arrive late, and whose answers get lost.

--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -8,17 +8,27 @@
 import dataclasses
 import itertools
 
+import expression
 from hypothesis import stateful
 import machines
 import pytest
+from twisted.internet import defer
+from twisted.internet import task
 import world
 
+from cairnloom.coordination import actions
 from cairnloom.coordination import events
 from cairnloom.coordination import leases
+from cairnloom.coordination import rows
 from cairnloom.coordination import sealing
 from cairnloom.coordination import usage
+from cairnloom.entry import relay
+from cairnloom import exceptions
 
 LAST_WINDOW = 40
+FAULTS = machines.st.lists(
+    machines.st.sampled_from(['well', 'lost', 'late', 'refused']), max_size=3
+)
 
 
 class ResendingBook(usage.UsageBook):
@@ -66,12 +76,59 @@
         return dataclasses.replace(state, parts=parts, writing=None)
 
 
+class TrustingHub(relay.GatheringTable):
+    """A careless part: takes what failed together for written."""
+
+    async def _carry_out(self, items):
+        result = await self._table.commit(self._join(items))
+        for item in items:
+            if result.is_ok():
+                keys = [write.key for write in item.transaction.writes]
+                versions = dict.fromkeys(keys, 1)
+                result = expression.Ok(rows.Committed(versions))
+            item.done.callback(result)
+
+
+class UncheckedHub(relay.GatheringTable):
+    """A careless part: joins transactions without what they check."""
+
+    def _join(self, items):
+        joined = super()._join(items)
+        joined.checks.clear()
+        return joined
+
+
+class HubTable:
+    """The table as a hub reaches it: calls get lost on either way."""
+
+    def __init__(self, world, faults):
+        self.world = world
+        self.faults = list(faults)
+
+    async def commit(self, transaction):
+        fault = self.faults.pop(0) if self.faults else 'well'
+        if self.world.down:
+            return expression.Error(exceptions.PlatformError('down', False))
+        if fault == 'refused':
+            return expression.Error(exceptions.PlatformError('busy', False))
+        action = actions.Commit(transaction)
+        if fault == 'late':
+            self.world.flights.append(
+                world.Flight(None, action, self.world.now)
+            )
+        else:
+            outcome = self.world.table.commit(transaction)
+        if fault == 'well':
+            return expression.Ok(outcome)
+        return expression.Error(exceptions.PlatformError('lost', True))
+
+
 class UnsealedSealer(sealing.WindowSealer):
     """A careless part: adds up the parts while the window is open."""
 
     def _go_on(self, authority):
         if self._row.version == 0:
-            return [usage.actions.Scan(usage.part_prefix(self.window))]
+            return [actions.Scan(usage.part_prefix(self.window))]
         return super()._go_on(authority)
 
 
@@ -165,6 +222,7 @@
     process_count = 4
     book_class = usage.UsageBook
     sealer_class = sealing.WindowSealer
+    hub_class = relay.GatheringTable
 
     def __init__(self):
         self.names = itertools.count(1)
@@ -254,6 +312,48 @@
                     self.world.arrive(flight)
                 self.world.time_out(flight, late=not arrived)
 
+    @stateful.rule(faults=FAULTS, lost=machines.st.booleans())
+    def write_through_a_hub(self, faults, lost):
+        """Both gateways write at once, through a hub that may go down."""
+        for number, gateway in enumerate(self.processes[:2]):
+            if not gateway.frozen:
+                self.record_with_slow_clock(number, 1)
+                gateway.tick()
+                self.world.send(gateway)
+        carried = [
+            flight
+            for flight in self.world.flights
+            if isinstance(flight.process, Gateway)
+            and isinstance(flight.action, actions.Commit)
+            and flight.reply is None
+            and flight.sent_at == self.world.now
+            and not flight.process.frozen
+        ]
+        clock = task.Clock()
+        hub = self.hub_class(clock, HubTable(self.world, faults))
+        for flight in carried:
+            self.world.flights.remove(flight)
+            done = defer.Deferred.fromCoroutine(
+                hub.commit(flight.action.transaction)
+            )
+            done.addCallback(self.take_outcome, flight, lost)
+        clock.advance(relay.GATHER_SECONDS)
+
+    def take_outcome(self, result, flight, lost):
+        write_id = flight.action.transaction.write_id
+        if lost or (result.is_error() and result.error.unknown):
+            event = events.CommitUnknown(write_id)
+        elif result.is_error():
+            event = events.CommitFailed(write_id)
+        elif isinstance(result.ok, rows.Committed):
+            event = events.CommitDone(
+                write_id, result.ok.versions, flight.sent_at
+            )
+        else:
+            event = events.CommitConflict(write_id, result.ok.rows)
+        flight.process.inbox.append(event)
+        flight.process.drain_inbox()
+
     @stateful.rule(number=machines.INDEX)
     def kill_and_restart(self, number):
         at = number % len(self.processes)
@@ -290,11 +390,15 @@
                 assert found.decode_tokens <= process.recorded, 'overbilled'
 
 
-def make(book=usage.UsageBook, sealer=sealing.WindowSealer):
+def make(
+    book=usage.UsageBook,
+    sealer=sealing.WindowSealer,
+    hub=relay.GatheringTable,
+):
     return type(
         'Machine',
         (UsageMachine,),
-        {'book_class': book, 'sealer_class': sealer},
+        {'book_class': book, 'sealer_class': sealer, 'hub_class': hub},
     )
 
 
@@ -311,3 +415,8 @@
 
 def test_careless_sealer_is_caught():
     machines.catch(make(sealer=UnsealedSealer))
+
+
+@pytest.mark.parametrize('hub', [TrustingHub, UncheckedHub])
+def test_careless_hubs_are_caught(hub):
+    machines.catch(make(hub=hub))
