Have hubs that are out of touch with the store refuse to write at once

A hub that the store does not answer now refuses at once, and as many hosts are asked as a small deployment has hubs.

--- a/src/cairnloom/entry/hubs.py
+++ b/src/cairnloom/entry/hubs.py
@@ -293,7 +293,13 @@
         host.take_books(given.books)
         return server.Answer(codec.encode(messages.Books([])))
 
+    def refuse_out_of_touch() -> None:
+        """Have the asker go to another host at once."""
+        if not host.knowledge.is_direct():
+            raise exceptions.PlatformError('out of touch with the store')
+
     async def read(call: server.Call) -> server.Answer:
+        refuse_out_of_touch()
         asked = codec.decode(messages.RowKey, call.body)
         result = await table.read(asked.key)
         if result.is_error():
@@ -301,6 +307,7 @@
         return server.Answer(codec.encode(result.ok))
 
     async def commit(call: server.Call) -> server.Answer:
+        refuse_out_of_touch()
         transaction = codec.decode(rows.Transaction, call.body)
         result = await table.commit(transaction)
         if result.is_error():
--- a/src/cairnloom/entry/relay.py
+++ b/src/cairnloom/entry/relay.py
@@ -24,8 +24,9 @@
 GATHER_SECONDS = 0.2
 # A store call takes up to a second.
 TIMEOUT_SECONDS = 1.8
-# How many hosts are asked, where the first is not in touch with the store.
-TRIES = 2
+# How many hosts are asked, where the first ones are not in touch with the
+# store: as many as the hubs of a small deployment.
+TRIES = members.LEAST_HUBS
 # Entries that one transaction of the store may have.
 MOST_ROWS = 40
 
