--- a/scripts/make_days.py
+++ b/scripts/make_days.py
@@ -1,5 +1,8 @@
 """Write the day files of deploy/days: each kind of trouble alone, and pairs
 of those that meet in coordination.
+
+Days whose variants need fields of their own are written by hand beside them,
+and stay as they are.
 """
 
 import pathlib
