Keep cached parts in one piece of code; drop what the laboratory never showed

The engine of the laboratory kept its own bounded list of cached parts, the twin of what trackers keep: both use PartCache now. Its engine-seconds were counted and shown nowhere, and the tokens read again had a rule that held for one part only.

--- a/src/cairnloom/lab/engines.py
+++ b/src/cairnloom/lab/engines.py
@@ -11,6 +11,7 @@
 import pydantic
 
 from ..routing import instances
+from ..routing import trackers
 from ..routing import work
 
 # What an engine takes for any prompt, however short, in seconds.
@@ -78,10 +79,12 @@
     answers: list[tuple[float, float]] = dataclasses.field(
         default_factory=list
     )
-    parts: collections.OrderedDict[str, int] = dataclasses.field(
-        default_factory=collections.OrderedDict
-    )
-    part_tokens: int = 0
+    cache: trackers.PartCache = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        chosen = self.settings
+        room = int(chosen.memory_tokens * chosen.cache_share)
+        self.cache = trackers.PartCache(room)
 
     def read(
         self, asked: work.Work, neighbour: 'Engine | None', now: float
@@ -91,8 +94,8 @@
         speed = 1.0 if self.instance.role == 'prefill' else chosen.beside
         new = asked.prompt_tokens
         for part in asked.parts[:-1]:
-            held = part.name in self.parts or (
-                neighbour is not None and part.name in neighbour.parts
+            held = part.name in self.cache.parts or (
+                neighbour is not None and part.name in neighbour.cache.parts
             )
             if not held:
                 break
@@ -100,7 +103,7 @@
         start = max(now, self.free_at)
         self.free_at = start + new / (chosen.read_rate * speed)
         self.readings.append((start, self.free_at))
-        self.keep(asked)
+        self.cache.note_parts(asked.parts)
         return self.free_at + PROMPT_SECONDS, new
 
     def take(self, asked: work.Work, now: float) -> float:
@@ -109,7 +112,7 @@
         way = chosen.token_bytes / chosen.link_bytes_per_second
         start = max(now, self.link_free_at)
         self.link_free_at = start + asked.prompt_tokens * way * self.slow
-        self.keep(asked)
+        self.cache.note_parts(asked.parts)
         return self.link_free_at + HANDOVER_SECONDS
 
     def admit(self, run: Run, now: float) -> float | None:
@@ -136,18 +139,6 @@
         self.waiting.clear()
         return found
 
-    def keep(self, asked: work.Work) -> None:
-        """Keep a prompt's parts; the least recently used yield."""
-        for part in asked.parts:
-            if part.name not in self.parts:
-                self.part_tokens += part.tokens
-            self.parts[part.name] = part.tokens
-            self.parts.move_to_end(part.name)
-        room = self.settings.memory_tokens * self.settings.cache_share
-        while self.part_tokens > room:
-            _, tokens = self.parts.popitem(last=False)
-            self.part_tokens -= tokens
-
     def count_held_up(self, pause: float) -> int:
         """Count answers that prompts beside them held up for so long."""
         readings = _merge(self.readings)
--- a/src/cairnloom/lab/fleet.py
+++ b/src/cairnloom/lab/fleet.py
@@ -52,7 +52,6 @@
     tokens_read: int = 0
     tokens_again: int = 0
     role_changes: int = 0
-    engine_seconds: float = 0.0
     held_up: int = 0
 
     def goodput(self, since: float = 0.0) -> float:
@@ -133,15 +132,18 @@
     def _at(self, at: float, act: Callable[..., None], argument: Any) -> None:
         heapq.heappush(self._queue, (at, next(self._order), act, argument))
 
-    def _start(self, number: int, now: float) -> None:
+    def _domain(self, number: int) -> str:
         domains = self._pattern.domains
+        return domains[number // 3 % len(domains)]
+
+    def _start(self, number: int, now: float) -> None:
         name = 'e%d' % number
         instance = instances.Instance(
             name=name,
             service=SERVICE,
             address='10.0.0.1',
             port=number + 1,
-            failure_domain=domains[number // 3 % len(domains)],
+            failure_domain=self._domain(number),
             role='prefill' if number % 2 else 'decode',
             slots=self._pattern.engine.slots,
             born=int(now * 1000),
@@ -162,13 +164,11 @@
                 self._directory.drop(name, next(self._versions))
 
     def _return(self, domain: str, now: float) -> None:
-        domains = self._pattern.domains
         for number in range(self._pattern.engine_count):
-            if domains[number // 3 % len(domains)] == domain:
+            if self._domain(number) == domain:
                 self._start(number, now)
 
     def _plan(self, _: None, now: float) -> None:
-        self.result.engine_seconds += PLAN_SECONDS * len(self.engines)
         change_seconds = self._pattern.engine.role_change_seconds
         present = self._directory.all()
         for order in self._planner.plan(present, change_seconds, now):
@@ -221,12 +221,10 @@
         neighbour = self.engines.get(sent.placed.neighbour)
         done, new = engine.read(sent.run.asked, neighbour, now)
         self.result.tokens_read += new
-        for part in sent.run.asked.parts[:-1]:
-            if part.name in self._seen:
-                again = min(new, part.tokens)
-                if new > sent.run.asked.parts[-1].tokens:
-                    self.result.tokens_again += again
-            self._seen.add(part.name)
+        *shared, own = sent.run.asked.parts
+        if self._seen.issuperset(part.name for part in shared):
+            self.result.tokens_again += new - own.tokens
+        self._seen.update(part.name for part in shared)
         self._at(done, self._hand_over, (sent, engine))
 
     def _hand_over(
--- a/src/cairnloom/routing/trackers.py
+++ b/src/cairnloom/routing/trackers.py
@@ -104,16 +104,50 @@
 
 
 @dataclasses.dataclass
-class Tracker:
+class PartCache:
+    """Parts of prompts that an engine has cached, with their tokens.
+
+    The least recently used yield beyond ``room`` tokens.
+    """
+
+    room: int = UNKNOWN_ROOM
+    parts: collections.OrderedDict[str, int] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+    part_tokens: int = 0
+
+    def note_parts(self, parts: tuple[work.Part, ...]) -> None:
+        """Note that parts are cached there; the oldest yield."""
+        for part in parts:
+            if part.name in self.parts:
+                self.parts.move_to_end(part.name)
+                continue
+            self.parts[part.name] = part.tokens
+            self.part_tokens += part.tokens
+        while self.part_tokens > self.room and self.parts:
+            _, tokens = self.parts.popitem(last=False)
+            self.part_tokens -= tokens
+
+    def cached_tokens(self, parts: tuple[work.Part, ...]) -> int:
+        """Return how many leading tokens of a prompt are cached there."""
+        total = 0
+        for part in parts:
+            if part.name not in self.parts:
+                break
+            total += part.tokens
+        return total
+
+
+@dataclasses.dataclass
+class Tracker(PartCache):
     """One instance.
 
     ``pending`` holds the prompt tokens that were sent and not read yet, by
-    urgency, 0 first. ``room`` bounds the tokens of parts that are taken to be
-    cached. ``arriving`` counts the tokens of caches that are on their way to
-    it, ``held`` those that prompts which are answered there added to its
-    memory; ``reading`` and ``taking`` tell how fast prompts are read and
-    caches taken. ``begun_at`` is when the newest stream was sent that it has
-    begun.
+    urgency, 0 first. ``arriving`` counts the tokens of caches that are on
+    their way to it, ``held`` those that prompts which are answered there added
+    to its memory; ``reading`` and ``taking`` tell how fast prompts are read
+    and caches taken. ``begun_at`` is when the newest stream was sent that it
+    has begun.
     """
 
     running: int = 0
@@ -123,12 +157,7 @@
     avoid_until: float = float('-inf')
     others: float = 0.0
     others_at: float = 0.0
-    room: int = UNKNOWN_ROOM
     peers: dict[str, PeerLoad] = dataclasses.field(default_factory=dict)
-    parts: collections.OrderedDict[str, int] = dataclasses.field(
-        default_factory=collections.OrderedDict
-    )
-    part_tokens: int = 0
     arriving: int = 0
     held: int = 0
     reading: Pace = dataclasses.field(default_factory=Pace)
@@ -200,27 +229,6 @@
         """Tell whether the endpoint failed a moment ago."""
         return now < self.avoid_until
 
-    def note_parts(self, parts: tuple[work.Part, ...]) -> None:
-        """Note that parts are cached there; the oldest yield."""
-        for part in parts:
-            if part.name in self.parts:
-                self.parts.move_to_end(part.name)
-                continue
-            self.parts[part.name] = part.tokens
-            self.part_tokens += part.tokens
-        while self.part_tokens > self.room and self.parts:
-            _, tokens = self.parts.popitem(last=False)
-            self.part_tokens -= tokens
-
-    def cached_tokens(self, parts: tuple[work.Part, ...]) -> int:
-        """Return how many leading tokens of a prompt are cached there."""
-        total = 0
-        for part in parts:
-            if part.name not in self.parts:
-                break
-            total += part.tokens
-        return total
-
 
 def _sum_ahead(pending: dict[int, int], urgency: int) -> int:
     return sum(tokens for rank, tokens in pending.items() if rank <= urgency)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -75,8 +75,8 @@
 def test_least_recently_used_parts_yield():
     one = engine(memory_tokens=300, cache_share=1.0)
     for name in 'abcd':
-        one.keep(run(name).asked)
-    assert list(one.parts) == ['b', 'c', 'd']
+        one.cache.note_parts(run(name).asked.parts)
+    assert list(one.cache.parts) == ['b', 'c', 'd']
 
 
 def test_faults_of_a_pattern_are_named(tmp_path):
