--- a/src/cairnloom/entry/caches.py
+++ b/src/cairnloom/entry/caches.py
@@ -8,13 +8,12 @@
 
 from typing import Protocol
 
-from twisted.internet import defer
-
 from .. import exceptions
 from ..routing import desk
 from ..routing import instances
 from ..routing import work
 from ..runtime import logs
+from ..runtime import waiting
 
 from . import state
 
@@ -51,11 +50,8 @@
         if before or not self._places:
             return
         unknown = self._desk.list_unknown()
-        await defer.gatherResults(
-            [
-                defer.Deferred.fromCoroutine(self._ask(service, instance))
-                for service, instance in unknown
-            ]
+        await waiting.run_together(
+            [self._ask(service, instance) for service, instance in unknown]
         )
 
     async def _ask(self, service: str, instance: instances.Instance) -> None:
--- a/src/cairnloom/entry/hubs.py
+++ b/src/cairnloom/entry/hubs.py
@@ -11,8 +11,6 @@
 import hashlib
 from typing import Callable
 
-from twisted.internet import defer
-
 from .. import exceptions
 from ..coordination import rows
 from ..protocol import codec
@@ -20,6 +18,7 @@
 from ..routing import desk
 from ..routing import exchange
 from ..runtime import logs
+from ..runtime import waiting
 
 from . import knowledge
 from . import members
@@ -142,12 +141,7 @@
     async def _ask_all(
         self, asked: list[members.HostRow], load: exchange.LoadMessage | None
     ) -> None:
-        await defer.gatherResults(
-            [
-                defer.Deferred.fromCoroutine(self._ask(row, load))
-                for row in asked
-            ]
-        )
+        await waiting.run_together([self._ask(row, load) for row in asked])
 
     async def _ask_hubs(self, now: float) -> None:
         asked = [
@@ -230,12 +224,9 @@
     ) -> None:
         host, now = self._host, self._host.now()
         known = host.knowledge
-        # What another start of the process had told is of no use.
-        self._has = {
-            owner: has
-            for owner, has in self._has.items()
-            if len(self._has) <= members.HOSTS_PER_HUB
-        }
+        if len(self._has) > members.HOSTS_PER_HUB:
+            # Most are of starts of processes that have ended.
+            self._has.clear()
         self._has[reply.owner] = (reply.directory, reply.hosts)
         if reply.document is not None:
             document = base64.b64decode(reply.document)
--- a/src/cairnloom/entry/knowledge.py
+++ b/src/cairnloom/entry/knowledge.py
@@ -11,12 +11,12 @@
 from typing import Protocol
 
 from twisted.internet import defer
-from twisted.internet import task
 
 from .. import exceptions
 from ..routing import instances
 from ..routing import routes
 from ..runtime import logs
+from ..runtime import waiting
 
 # A failed call to the store is repeated after this time, doubled each time.
 FIRST_PAUSE_SECONDS = 0.2
@@ -266,7 +266,7 @@
     async def _rest(self) -> None:
         wait = self._pause * random.uniform(0.5, 1.0)
         self._pause = min(self.longest_pause, 2 * self._pause)
-        await task.deferLater(self._reactor, wait, lambda: None)
+        await waiting.sleep(self._reactor, wait)
 
     async def _round(self) -> None:
         if self._version is None:
@@ -284,7 +284,7 @@
         self._knowledge.take(update, self._reactor.seconds())
         if update.changes and not update.whole:
             # Changes often come together; each call is paid for.
-            await task.deferLater(self._reactor, GATHER_SECONDS, lambda: None)
+            await waiting.sleep(self._reactor, GATHER_SECONDS)
 
     async def _follow(self, version: int) -> Update | None:
         self._asked_at = self._reactor.seconds()
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -8,8 +8,6 @@
 from typing import Callable
 import uuid
 
-from twisted.internet import defer
-from twisted.internet import task
 from twisted.web import http
 
 from .. import exceptions
@@ -29,6 +27,7 @@
 from ..runtime import metrics
 from ..runtime import programs
 from ..runtime import runner
+from ..runtime import waiting
 
 from . import caches
 from . import clocks
@@ -269,7 +268,7 @@
         host.leaving = True
         self._members.describe_me(leaving=True)
         self._listener.begin_closing()
-        await self._sleep(LEAVING_SECONDS)
+        await waiting.sleep(self._reactor, LEAVING_SECONDS)
         self._ports['callers'].stopListening()
         end = began + self._settings.bounds.grace - END_SECONDS
         await self._drain(end)
@@ -289,7 +288,7 @@
             self._listener.close_idle()
             if not self._front.under_way and not self._listener.channels:
                 return
-            await self._sleep(DRAIN_POLL_SECONDS)
+            await waiting.sleep(self._reactor, DRAIN_POLL_SECONDS)
 
     def _listen(self, name: str, at: settings.Address, factory: Any) -> None:
         self._ports[name] = self._reactor.listenTCP(
@@ -433,9 +432,6 @@
     def _authority(self) -> leases.Authority | None:
         return self._leadership.authority_for(CALL_MARGIN_SECONDS)
 
-    def _sleep(self, seconds: float) -> defer.Deferred[None]:
-        return task.deferLater(self._reactor, seconds, lambda: None)
-
 
 class _HealthRequest(http.Request):
     """Answer every request with whether the host is ready."""
--- a/src/cairnloom/runtime/waiting.py
+++ b/src/cairnloom/runtime/waiting.py
@@ -24,5 +24,10 @@
     return [value for value in await gather(works) if value is not None]
 
 
+async def run_together(works: list[Any]) -> None:
+    """Run coroutines together; raise the first failure there is."""
+    await defer.gatherResults([_start(work) for work in works])
+
+
 def _start(work: Awaitable[Any]) -> defer.Deferred[Any]:
     return defer.ensureDeferred(work)  # type: ignore[arg-type]
