Decode engines' answers in one place; note a begun stream where it was sent

Two readers of engines' answers had the same faults to turn into errors. When a stream was sent was kept twice, by the attempt and by its stream. No behaviour changes.

--- a/src/cairnloom/entry/attempts.py
+++ b/src/cairnloom/entry/attempts.py
@@ -46,7 +46,12 @@
     outcome: outcomes.Outcome | None = None
     try:
         if streams:
-            stream = _Stream(request, instance, when_accepted, when_begun)
+
+            def note_begun() -> None:
+                tracker.note_begun(sent_at)
+                when_begun()
+
+            stream = _Stream(request, instance, when_accepted, note_begun)
             outcome = await stream.run(phase)
         else:
             tracker.running += 1
@@ -186,13 +191,11 @@
         self._exchanged: upstream.Exchange | None = None
         self._head: work.Head | None = None
         self._begun = False
-        self._sent_at = 0.0
         self._fault = ''
 
     async def run(self, phase: work.Phase) -> outcomes.Outcome:
         """Send the request and pass on what comes."""
         request = self._request
-        self._sent_at = request.host.now()
         try:
             exchanged, head = await _open(
                 request, self._instance, phase, request.route.resumable
@@ -251,8 +254,6 @@
             self._begun = True
             self._when_begun()
             request.count_run(request.host.now())
-            tracker = request.host.trackers.of(self._instance)
-            tracker.note_begun(self._sent_at)
             assert self._head is not None and self._exchanged is not None
             if not request.caller.begun:
                 self._begin(self._head)
--- a/src/cairnloom/platform/engines.py
+++ b/src/cairnloom/platform/engines.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 from typing import Any
+from typing import Callable
+from typing import TypeVar
 
 import orjson
 from twisted.web import http_headers
@@ -15,6 +17,8 @@
 
 TIMEOUT_SECONDS = 1.0
 
+T = TypeVar('T')
+
 
 @dataclasses.dataclass(frozen=True)
 class Report:
@@ -45,26 +49,7 @@
         Raises :class:`~cairnloom.exceptions.EndpointError`.
         """
         reply = await self._call('GET', instance, '/v1/report')
-        try:
-            found: Any = orjson.loads(reply.body)
-            return Report(
-                role=str(found['Stage']),
-                changing=bool(found['Busy']),
-                sequence=int(found['Sequence']),
-                waiting=int(found.get('Waiting', 0)),
-                running=int(found.get('Running', 0)),
-                used_tokens=int(found.get('KvUsed', 0)),
-                total_tokens=int(found.get('KvTotal', 0)),
-            )
-        except (
-            orjson.JSONDecodeError,
-            KeyError,
-            TypeError,
-            ValueError,
-        ) as fault:
-            raise exceptions.EndpointError(
-                'report: %r' % fault, True
-            ) from fault
+        return _decode('report', reply.body, _read_report)
 
     async def list_cached(
         self, instance: instances.Instance
@@ -74,21 +59,7 @@
         Raises :class:`~cairnloom.exceptions.EndpointError`.
         """
         reply = await self._call('GET', instance, '/v1/kv-list')
-        try:
-            held = orjson.loads(reply.body)['held']
-            return [
-                work.Part(str(name), int(tokens))
-                for _, name, tokens, *_ in held
-            ]
-        except (
-            orjson.JSONDecodeError,
-            KeyError,
-            TypeError,
-            ValueError,
-        ) as fault:
-            raise exceptions.EndpointError(
-                'cached parts: %r' % fault, True
-            ) from fault
+        return _decode('cached parts', reply.body, _read_parts)
 
     async def change_role(
         self,
@@ -141,3 +112,36 @@
             )
         except exceptions.TransportError as fault:
             raise exceptions.EndpointError(str(fault), fault.sent) from fault
+
+
+def _decode(what: str, body: bytes, read: Callable[[Any], T]) -> T:
+    try:
+        return read(orjson.loads(body))
+    except (
+        orjson.JSONDecodeError,
+        KeyError,
+        TypeError,
+        ValueError,
+    ) as fault:
+        raise exceptions.EndpointError(
+            '%s: %r' % (what, fault), True
+        ) from fault
+
+
+def _read_report(found: Any) -> Report:
+    return Report(
+        role=str(found['Stage']),
+        changing=bool(found['Busy']),
+        sequence=int(found['Sequence']),
+        waiting=int(found.get('Waiting', 0)),
+        running=int(found.get('Running', 0)),
+        used_tokens=int(found.get('KvUsed', 0)),
+        total_tokens=int(found.get('KvTotal', 0)),
+    )
+
+
+def _read_parts(found: Any) -> list[work.Part]:
+    return [
+        work.Part(str(name), int(tokens))
+        for _, name, tokens, *_ in found['held']
+    ]
