--- a/src/cairnloom/entry/requests.py
+++ b/src/cairnloom/entry/requests.py
@@ -140,6 +140,17 @@
                 self.host.now(),
             )
         )
+        model_work = self.metadata.work
+        logs.log_event(
+            'connection_lost',
+            request=self.metadata.request_id,
+            endpoint=instance.name,
+            domain=instance.failure_domain,
+            answering=has_begun_answer,
+            parts=(
+                [part.name for part in model_work.parts] if model_work else []
+            ),
+        )
 
     def log_failed_attempt(
         self, instance: instances.Instance, outcome: str, reason: str
