Let a host that leaves alone tell that it schedules nothing

Now no hub means no scheduling hub. Test: test_host_that_leaves_alone_is_no_scheduling_hub fails on the old code.

--- a/src/cairnloom/entry/scheduler_client.py
+++ b/src/cairnloom/entry/scheduler_client.py
@@ -111,7 +111,8 @@
 
     def is_scheduling_hub(self) -> bool:
         """Return whether this host places the model work of all hosts."""
-        return self._members.hubs()[0].host == self._members.own_row.host
+        hubs = self._members.hubs()
+        return bool(hubs) and hubs[0].host == self._members.own_row.host
 
     def _choose_hub(self) -> members.HostRow | None:
         """Return the hub that places model work, None if it is this host."""
--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -686,6 +686,14 @@
     )
 
 
+def test_host_that_leaves_alone_is_no_scheduling_hub():
+    membership = make_members()
+    client = scheduler_client.SchedulerClient(None, membership, None, None)
+    assert client.is_scheduling_hub()
+    membership.update_own_row(leaving=True)
+    assert not client.is_scheduling_hub()
+
+
 def test_host_that_learns_the_store_time_late_keeps_its_age(monkeypatch):
     """A late clock must not make a host appear younger than it is.
 
