Refuse prompt parts that crash one engine after the other

Callers saw every stream of an engine end, again and again: requests that share one part of their prompt crashed each engine that began to answer one.

Cause: the quarantine knows single requests, by a hash of team, target and body. The class: knowledge is kept per request where the cause is shared by many, and each host sees only its own share of the evidence.

Change: hosts report the parts of requests that were not being answered when their engine crashed, and when answers with a part began. A part is refused once such requests crashed engines in a row, each sent after the crash before, and no answer with it has begun since. Requests that only stood beside the cause, or share its other parts, are served on: an answer acquits all of its parts, and parts that never came apart are only refused together. Reports go to the scheduling hub within 30 ms, which places all model work, and to all hosts with each sync, so that the loss of the hub forgets nothing. After 30 s, 120 s and then every 600 s the scheduling hub, and no other host, tries one request.

--- a/src/cairnloom/entry/attempts.py
+++ b/src/cairnloom/entry/attempts.py
@@ -47,6 +47,7 @@
     sent_at = host.now()
     is_stream = request.route.kind == 'stream'
     outcome: outcomes.Outcome | None = None
+    event_count = 0
     try:
         if is_stream:
 
@@ -56,6 +57,7 @@
 
             stream = _Stream(request, instance, on_accepted, note_first_event)
             outcome = await stream.run(phase)
+            event_count = stream.event_count
         else:
             stats.running += 1
             try:
@@ -74,7 +76,7 @@
         case outcomes.Failed(reason=reason):
             if outcome.connection_lost:
                 request.note_connection_lost(
-                    instance, request.caller.head_sent
+                    instance, request.caller.head_sent, sent_at, event_count
                 )
             request.possible_runs += 1
             request.log_failed_attempt(instance, 'failed', reason)
@@ -199,7 +201,7 @@
         self._events = events.EventReader()
         self._response: upstream.EndpointResponse | None = None
         self._head: work.ResponseHead | None = None
-        self._has_begun = False
+        self.event_count = 0
         self._reject_reason = ''
 
     async def run(self, phase: work.Phase) -> outcomes.Outcome:
@@ -228,6 +230,7 @@
         if not caller.head_sent:
             self._send_head(head)
         caller.finish()
+        request.note_answering()
         return outcomes.Answered()
 
     async def _read_failure(
@@ -262,8 +265,10 @@
             if last_number is not None and event.number <= last_number:
                 return 'event %d again' % event.number
             request.last_event = event.number
-        if not self._has_begun:
-            self._has_begun = True
+        self.event_count += 1
+        if self.event_count == 2:
+            request.note_answering()
+        if self.event_count == 1:
             self._on_first_event()
             request.count_usage(request.host.now())
             assert self._head is not None and self._response is not None
--- a/src/cairnloom/entry/generation.py
+++ b/src/cairnloom/entry/generation.py
@@ -205,7 +205,7 @@
                 raise exceptions.EndpointError('status %d' % head.status, True)
             cache = self._host.header_codec.read_cache_handle(bytes(body))
         except (exceptions.EndpointError, exceptions.ProtocolError) as fault:
-            return self._note_prefill_failed(prefill_engine, fault)
+            return self._note_prefill_failed(prefill_engine, fault, started_at)
         seconds = self._host.now() - started_at
         self._host.endpoint_stats.for_instance(prefill_engine).note_success()
         self._host.scheduler_client.report_event(
@@ -227,10 +227,11 @@
         self,
         prefill_engine: instances.Instance,
         fault: exceptions.CairnloomError,
+        sent_at: float,
     ) -> outcomes.Outcome:
         connection_lost = getattr(fault, 'connection_lost', False)
         if connection_lost and getattr(fault, 'may_have_run', False):
-            self._request.note_connection_lost(prefill_engine, False)
+            self._request.note_connection_lost(prefill_engine, False, sent_at)
         self._host.endpoint_stats.for_instance(prefill_engine).note_failure(
             self._host.now()
         )
--- a/src/cairnloom/entry/hubs.py
+++ b/src/cairnloom/entry/hubs.py
@@ -16,6 +16,7 @@
 from ..coordination import rows
 from ..protocol import codec
 from ..protocol import server
+from ..routing import crashing_parts
 from ..routing import exchange
 from ..routing import scheduler
 from ..runtime import concurrency
@@ -113,6 +114,7 @@
                 seen_host.row, now, seen_host.age, heard_directly=False
             )
         self._host.quarantine.merge(request.marks, now)
+        self._host.crashing_parts.merge(request.findings, now)
         if request.load is not None:
             self._host.exchange.apply_message(request.load, now)
         document = None
@@ -134,6 +136,7 @@
             marks=self._host.quarantine.list_newest_marks(now),
             store_seconds=self._clock.store_seconds(now),
             clock_ahead=self._members.clock_ahead(),
+            findings=self._host.crashing_parts.list_findings(now),
         )
 
     async def _ask_unknown_hosts(self) -> None:
@@ -231,6 +234,7 @@
             hosts=hosts,
             marks=host.quarantine.list_newest_marks(now),
             load=load,
+            findings=host.crashing_parts.list_findings(now),
         )
         if load is None:
             return request
@@ -257,6 +261,7 @@
         if reply.fresh:
             cluster.hub_synced_at = max(cluster.hub_synced_at, sent_at)
         host.quarantine.merge(reply.marks, now)
+        host.crashing_parts.merge(reply.findings, now)
         self._apply_hosts(reply, now)
         if now - sent_at < MAX_CLOCK_ROUND_TRIP_SECONDS:
             midpoint = (now + sent_at) / 2
@@ -304,7 +309,11 @@
         return server.JsonResponse(codec.encode(reply))
 
     async def receive_events(call: server.JsonRequest) -> server.JsonResponse:
-        for event in codec.decode(messages.PlacementEvents, call.body).notes:
+        message = codec.decode(messages.PlacementEvents, call.body)
+        host.crashing_parts.merge(
+            crashing_parts.Findings(message.crashes), host.now()
+        )
+        for event in message.notes:
             own_scheduler.handle_event(event, host.now())
         return server.JsonResponse(codec.encode(messages.PlacementEvents([])))
 
--- a/src/cairnloom/entry/messages.py
+++ b/src/cairnloom/entry/messages.py
@@ -8,6 +8,7 @@
 
 from ..coordination import rows
 from ..coordination import usage
+from ..routing import crashing_parts
 from ..routing import exchange
 from ..routing import quarantine
 from ..routing import scheduler
@@ -31,7 +32,8 @@
     ``me`` is the sender's own row. ``configuration`` is the version of the
     configuration that the sender has. ``directory`` and ``hosts`` are the
     revisions that it has of the hub's lists of endpoints and hosts, -1 for
-    none. ``marks`` are the crashes of endpoints that it knows of. If the
+    none. ``marks`` are the crashes of endpoints that it knows of, and
+    ``findings`` what it knows of prompt parts that crash engines. If the
     sender is a hub, ``heard`` lists the hosts that called it directly and
     ``load`` is the load that it placed.
     """
@@ -43,6 +45,7 @@
     marks: list[quarantine.CrashMark] = dataclasses.field(default_factory=list)
     heard: list[members.SeenHost] = dataclasses.field(default_factory=list)
     load: exchange.LoadMessage | None = None
+    findings: crashing_parts.Findings = crashing_parts.Findings()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -70,6 +73,7 @@
     marks: list[quarantine.CrashMark]
     store_seconds: float | None = None
     clock_ahead: float | None = None
+    findings: crashing_parts.Findings = crashing_parts.Findings()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -93,9 +97,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class PlacementEvents:
-    """Events of placed requests, in the order in which they happened."""
+    """Events of placed requests, in the order in which they happened.
+
+    ``crashes`` are new reports of requests that may have crashed an engine.
+    """
 
     notes: list[scheduler.PlacementEvent]
+    crashes: list[crashing_parts.CrashReport] = dataclasses.field(
+        default_factory=list
+    )
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -17,6 +17,7 @@
 from ..protocol import client
 from ..protocol import codec
 from ..protocol import server
+from ..routing import crashing_parts
 from ..routing import endpoint_stats
 from ..routing import exchange
 from ..routing import quarantine
@@ -136,8 +137,14 @@
         )
         cluster = cluster_state.ClusterState()
         load_exchange = exchange.LoadExchange(self._owner, stats)
+        parts_that_crash = crashing_parts.CrashingParts(self._owner)
+        parts_that_crash.on_refused = _log_refusal
         self._scheduler = scheduler.Scheduler(
-            stats, endpoint_selector, cluster.directory, cluster.engine_spec
+            stats,
+            endpoint_selector,
+            cluster.directory,
+            cluster.engine_spec,
+            parts_that_crash,
         )
         self._scheduler.on_parts_cached = load_exchange.note_parts
         clock = clocks.SharedClock(reactor, lambda: platform.store.clock_ahead)
@@ -152,6 +159,7 @@
             endpoint_selector=endpoint_selector,
             exchange=load_exchange,
             quarantine=quarantine.Quarantine(host_settings.host),
+            crashing_parts=parts_that_crash,
             own_usage=usage.UsageAccumulator(self._owner),
             metrics=metrics.Metrics(),
             members=self._members,
@@ -360,6 +368,7 @@
         gauges.gauge('store_reads', self._platform.store.reads)
         gauges.gauge('store_writes', self._platform.store.writes)
         gauges.gauge('connections_opened', host.upstream.opened_count)
+        gauges.gauge('refused_parts', len(host.crashing_parts.list_refusals()))
         return server.JsonResponse(gauges.render().encode(), 200, 'text/plain')
 
     async def _show_state(
@@ -394,6 +403,7 @@
         now = self._host.now()
         self._host.cluster_state.remove_missing_endpoints(now)
         self._host.quarantine.confirm_marks(now)
+        self._host.crashing_parts.remove_expired(now)
         self._host.upstream.close_expired()
         self._scheduler.expire(now)
 
@@ -502,6 +512,14 @@
         return self._leadership.authority_for(CALL_MARGIN_SECONDS)
 
 
+def _log_refusal(refusal: crashing_parts.Refusal) -> None:
+    logs.log_event(
+        'parts_refused',
+        parts=sorted(refusal.parts),
+        crashes=refusal.crash_count,
+    )
+
+
 class _HealthRequest(http.Request):
     """Answer every request with the readiness of the host."""
 
--- a/src/cairnloom/entry/requests.py
+++ b/src/cairnloom/entry/requests.py
@@ -6,6 +6,7 @@
 from ..routing import instances
 from ..routing import quarantine
 from ..routing import routes
+from ..routing import scheduler
 from ..routing import work
 from ..runtime import logs
 
@@ -123,13 +124,29 @@
         content = self.caller.target + b'\0' + self.caller.body
         return quarantine.fingerprint(self.team_name, content)
 
+    def list_shared_parts(self) -> tuple[str, ...]:
+        """Return the keys of the prompt parts that others may share."""
+        model_work = self.metadata.work
+        return scheduler.list_shared_parts(model_work) if model_work else ()
+
+    def note_answering(self) -> None:
+        """Record that an engine survives answering this request."""
+        self.host.crashing_parts.note_answered(
+            self.list_shared_parts(), self.host.now()
+        )
+
     def note_connection_lost(
-        self, instance: instances.Instance, has_begun_answer: bool
+        self,
+        instance: instances.Instance,
+        has_begun_answer: bool,
+        sent_at: float,
+        event_count: int = 0,
     ) -> None:
         """Report a connection lost during this request to the quarantine.
 
         ``has_begun_answer`` is set if the caller has received a part of the
-        answer.
+        answer. ``event_count`` is the number of events that this attempt
+        received, which was sent at ``sent_at``.
         """
         self.host.quarantine.note_broken(
             quarantine.BrokenAttempt(
@@ -140,17 +157,26 @@
                 self.host.now(),
             )
         )
-        model_work = self.metadata.work
+        shared_parts = self.list_shared_parts()
         logs.log_event(
             'connection_lost',
             request=self.metadata.request_id,
             endpoint=instance.name,
             domain=instance.failure_domain,
             answering=has_begun_answer,
-            parts=(
-                [part.name for part in model_work.parts] if model_work else []
-            ),
+            events=event_count,
+            parts=shared_parts,
         )
+        # The first event may be the last thing that an engine sends before it
+        # crashes.
+        if shared_parts and event_count <= 1:
+            report = self.host.crashing_parts.note_crash(
+                '%s/%d' % instance.identity,
+                shared_parts,
+                sent_at,
+                self.host.now(),
+            )
+            self.host.scheduler_client.report_crash(report)
 
     def log_failed_attempt(
         self, instance: instances.Instance, outcome: str, reason: str
--- a/src/cairnloom/entry/scheduler_client.py
+++ b/src/cairnloom/entry/scheduler_client.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from .. import exceptions
+from ..routing import crashing_parts
 from ..routing import scheduler
 from ..runtime import logs
 
@@ -43,7 +44,7 @@
         self._scheduler = own_scheduler
         self._peers = peer_client
         self._placed_by: dict[str, members.HostRow] = {}
-        self._pending_events: dict[str, list[scheduler.PlacementEvent]] = {}
+        self._pending: dict[str, messages.PlacementEvents] = {}
         self._timers: dict[str, Any] = {}
 
     async def place(
@@ -95,19 +96,24 @@
         if hub is None:
             self._scheduler.handle_event(event, self._reactor.seconds())
             return
-        self._pending_events.setdefault(hub.owner, []).append(event)
+        self._collect(hub).notes.append(event)
         delay = (
             END_EVENT_DELAY_SECONDS
             if event.kind == 'ended'
             else EVENT_DELAY_SECONDS
         )
-        timer = self._timers.get(hub.owner)
-        if timer is None:
-            self._timers[hub.owner] = self._reactor.callLater(
-                delay, self._flush_events, hub
-            )
-        elif timer.getTime() > self._reactor.seconds() + delay:
-            timer.reset(delay)
+        self._schedule_flush(hub, delay)
+
+    def report_crash(self, report: crashing_parts.CrashReport) -> None:
+        """Report a request that may have crashed an engine.
+
+        The report goes straight to the scheduling hub, so that the next
+        requests with the same parts are not placed.
+        """
+        hub = self._choose_hub()
+        if hub is not None:
+            self._collect(hub).crashes.append(report)
+            self._schedule_flush(hub, EVENT_DELAY_SECONDS)
 
     def is_scheduling_hub(self) -> bool:
         """Return whether this host places the model work of all hosts."""
@@ -129,22 +135,39 @@
     ) -> scheduler.Decision:
         now = self._reactor.seconds()
         return self._scheduler.place(
-            self._members.own_row.host, placement_request, now
+            self._members.own_row.host,
+            placement_request,
+            now,
+            may_try=self.is_scheduling_hub(),
         )
 
+    def _collect(self, hub: members.HostRow) -> messages.PlacementEvents:
+        return self._pending.setdefault(
+            hub.owner, messages.PlacementEvents([])
+        )
+
+    def _schedule_flush(self, hub: members.HostRow, delay: float) -> None:
+        timer = self._timers.get(hub.owner)
+        if timer is None:
+            self._timers[hub.owner] = self._reactor.callLater(
+                delay, self._flush_events, hub
+            )
+        elif timer.getTime() > self._reactor.seconds() + delay:
+            timer.reset(delay)
+
     def _flush_events(self, hub: members.HostRow) -> None:
         del self._timers[hub.owner]
-        events = self._pending_events.pop(hub.owner)
+        events = self._pending.pop(hub.owner)
         cluster_state.run_task(self._send_events(hub, events))
 
     async def _send_events(
-        self, hub: members.HostRow, events: list[scheduler.PlacementEvent]
+        self, hub: members.HostRow, events: messages.PlacementEvents
     ) -> None:
         try:
             await self._peers.call(
                 hub,
                 messages.EVENTS,
-                messages.PlacementEvents(events),
+                events,
                 messages.PlacementEvents,
                 EVENT_TIMEOUT_SECONDS,
             )
--- a/src/cairnloom/entry/state.py
+++ b/src/cairnloom/entry/state.py
@@ -8,6 +8,7 @@
 
 from ..admission import budgets
 from ..coordination import usage
+from ..routing import crashing_parts
 from ..routing import endpoint_stats
 from ..routing import exchange
 from ..routing import instances
@@ -63,6 +64,9 @@
     def report_event(self, event: scheduler.PlacementEvent) -> None:
         """Report an event of a placed request to the host that placed it."""
 
+    def report_crash(self, report: crashing_parts.CrashReport) -> None:
+        """Report a request that may have crashed an engine."""
+
     def is_scheduling_hub(self) -> bool:
         """Return whether this host places the model work of all hosts."""
 
@@ -95,6 +99,7 @@
     endpoint_selector: selection.EndpointSelector
     exchange: exchange.LoadExchange
     quarantine: quarantine.Quarantine
+    crashing_parts: crashing_parts.CrashingParts
     own_usage: usage.UsageAccumulator
     metrics: metrics.Metrics
     members: members.Members
--- a/src/cairnloom/lab/fleet.py
+++ b/src/cairnloom/lab/fleet.py
@@ -12,6 +12,7 @@
 from typing import Callable
 
 from ..planning import role_split
+from ..routing import crashing_parts
 from ..routing import endpoint_stats
 from ..routing import instances
 from ..routing import scheduler
@@ -166,6 +167,7 @@
             selection.EndpointSelector(registry, self._pattern.domains[0]),
             self._directory,
             lambda service: spec,
+            crashing_parts.CrashingParts('lab'),
         )
 
     def _schedule(
--- a/src/cairnloom/routing/scheduler.py
+++ b/src/cairnloom/routing/scheduler.py
@@ -12,6 +12,7 @@
 from typing import Callable
 from typing import Literal
 
+from . import crashing_parts
 from . import endpoint_stats
 from . import instances
 from . import routes
@@ -24,6 +25,8 @@
 # The share of an engine's memory that is assumed to hold cached prompt parts;
 # the rest holds running requests.
 CACHE_SHARE = 0.8
+# An answer that has gone on for this long shows that the engine survives it.
+ANSWERING_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,13 +76,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class PlacementRefused:
-    """No engine can serve the request in time.
+    """No engine can or may serve the request in time.
 
     ``late`` is the number of seconds by which the best engine would be late,
-    or 0 if there is no engine at all.
+    or 0 if there is no engine at all. If a part of the prompt crashes engines,
+    it is the number of seconds for which the part is refused.
     """
 
-    reason: Literal['no engine', 'too late']
+    reason: Literal['no engine', 'too late', 'crashed endpoints']
     late: float = 0.0
 
 
@@ -110,6 +114,8 @@
     set while the decode engine waits for the KV cache. ``reserved_tokens`` is
     the memory that is reserved on the decode engine. ``was_idle`` is true if
     the prefill engine had nothing else to do at the time of the placement.
+    ``parts`` are the keys of the shared parts of the prompt, until it is known
+    whether the engine survives the answer.
     """
 
     host: str
@@ -123,6 +129,7 @@
     urgency: int
     was_idle: bool
     expires_at: float
+    parts: tuple[str, ...]
     begun_at: float | None = None
 
 
@@ -135,11 +142,13 @@
         selector: selection.EndpointSelector,
         directory: instances.Directory,
         find_spec: Callable[[str], routes.EngineSpec],
+        parts_that_crash: crashing_parts.CrashingParts,
     ) -> None:
         self._registry = registry
         self._selector = selector
         self._directory = directory
         self._find_spec = find_spec
+        self._crashing_parts = parts_that_crash
         self._groups_by_service: dict[str, selection.EngineGroups] = {}
         self._groups_revision = -1
         self._reservations: dict[str, _Reservation] = {}
@@ -148,10 +157,26 @@
         ] = lambda name, parts: None
 
     def place(
-        self, host: str, placement_request: PlacementRequest, now: float
+        self,
+        host: str,
+        placement_request: PlacementRequest,
+        now: float,
+        may_try: bool = True,
     ) -> Decision:
-        """Choose engines for a host's request, and reserve capacity there."""
+        """Choose engines for a host's request, and reserve capacity there.
+
+        ``may_try`` is set on the host that places the model work of all hosts.
+        It lets single requests through to see whether they still crash
+        engines.
+        """
         self._release_reservation(placement_request.request)
+        refusal = self._crashing_parts.find_refusal(
+            list_shared_parts(placement_request.work), now, may_try
+        )
+        if refusal is not None:
+            return PlacementRefused(
+                'crashed endpoints', max(0.0, refusal.until - now)
+            )
         engines = self._list_engines(placement_request)
         spec = self._find_spec(placement_request.service)
         if placement_request.cache_at:
@@ -187,9 +212,12 @@
                 self._complete_prefill(reservation, 0.0, now)
                 self._complete_transfer(reservation, now)
                 reservation.begun_at = now
+            case 'failed':
+                reservation.parts = ()
             case 'ended':
                 if reservation.begun_at is not None:
                     self._selector.note_decode(now - reservation.begun_at)
+                    self._note_answered(reservation, now)
                 self._release_reservation(event.request)
 
     def list_unknown_caches(self) -> list[tuple[str, instances.Instance]]:
@@ -218,8 +246,14 @@
             self._add_cached_parts(engine, parts, self._find_spec(service))
 
     def expire(self, now: float) -> None:
-        """Release the reservations that have timed out."""
+        """Release the reservations that have timed out.
+
+        Also takes note of the answers that have gone on for a while.
+        """
         for request, reservation in list(self._reservations.items()):
+            begun_at = reservation.begun_at
+            if begun_at is not None and now - begun_at >= ANSWERING_SECONDS:
+                self._note_answered(reservation, now)
             if now >= reservation.expires_at:
                 self._release_reservation(request)
 
@@ -385,6 +419,7 @@
             urgency=placement_request.urgency,
             was_idle=False,
             expires_at=now + RESERVATION_TIMEOUT_SECONDS,
+            parts=list_shared_parts(placement_request.work),
         )
         self._reservations[placement_request.request] = reservation
         if prefill_choice is None:
@@ -447,6 +482,10 @@
         if reservation.decode_choice is not None:
             stats.running -= 1
 
+    def _note_answered(self, reservation: _Reservation, now: float) -> None:
+        self._crashing_parts.note_answered(reservation.parts, now)
+        reservation.parts = ()
+
     def _release_reservation(self, request: str) -> None:
         reservation = self._reservations.pop(request, None)
         if reservation is None:
@@ -462,6 +501,13 @@
             )
 
 
+def list_shared_parts(model_work: work.ModelWork) -> tuple[str, ...]:
+    """Return the keys of the prompt parts that other requests may share."""
+    return crashing_parts.make_keys(
+        model_work.model, (part.name for part in model_work.parts[:-1])
+    )
+
+
 def _group_by_role(
     engines: list[endpoint_stats.Candidate],
 ) -> selection.EngineGroups:
--- a/src/cairnloom/standins/atlas.py
+++ b/src/cairnloom/standins/atlas.py
@@ -23,6 +23,8 @@
 # Number of events in a streamed answer, and the time between two of them.
 EVENT_COUNT = 5
 EVENT_SECONDS = 0.01
+# How long a crashed endpoint refuses connections.
+RESTART_SECONDS = 0.3
 PRECONDITION_FAILED = 412
 GONE = 410
 
@@ -206,7 +208,9 @@
     - ``again``: the second event of a stream is sent twice
 
     ``handles`` names the KV caches held for a decode, and ``cached`` gives
-    the tokens of each cached prompt part.
+    the tokens of each cached prompt part. A request with one of the prompt
+    parts in ``deadly_parts`` crashes the endpoint when its answer begins;
+    ``crashes`` counts these crashes.
     """
 
     name: str
@@ -221,6 +225,8 @@
     freed_handles: list[str] = dataclasses.field(default_factory=list)
     orders: list[dict[str, Any]] = dataclasses.field(default_factory=list)
     cached: dict[str, int] = dataclasses.field(default_factory=dict)
+    deadly_parts: frozenset[str] = frozenset()
+    crashes: int = 0
     list_calls: int = 0
     port: int = 0
     prefill_seconds: float = 0.0
@@ -393,6 +399,25 @@
         super().__init__(reactor)
         self._endpoint = endpoint
         self._endpoints = endpoints
+        self._channels: list[Any] = []
+        self._restart_at = 0.0
+
+    def buildProtocol(self, addr: Any) -> Any:
+        """Accept a connection, unless the endpoint has crashed."""
+        if self.reactor.seconds() < self._restart_at:
+            return None
+        channel = super().buildProtocol(addr)
+        self._channels.append(channel)
+        return channel
+
+    def crash(self) -> None:
+        """Reset all connections, and refuse new ones for a while."""
+        self._endpoint.crashes += 1
+        self._restart_at = self.reactor.seconds() + RESTART_SECONDS
+        channels, self._channels = self._channels, []
+        for channel in channels:
+            if channel.transport is not None:
+                channel.transport.abortConnection()
 
     def answer(self, request: _Request) -> None:
         """Answer a caller's request or a control call."""
@@ -515,6 +540,9 @@
         if fault == 'lose':
             request.reset()
             return
+        if self._endpoint.deadly_parts & _list_parts(received):
+            self.reactor.callLater(EVENT_SECONDS, self.crash)
+            return
         for name, value in self._answer_headers(received).items():
             request.setHeader(name, value)
         request.setHeader(b'content-type', b'text/event-stream')
@@ -553,6 +581,11 @@
         return True
 
 
+def _list_parts(received: ReceivedRequest) -> set[str]:
+    items = received.header(names.PROMPT_PARTS).split(',')
+    return {item.partition(':')[0].strip() for item in items}
+
+
 class CloudApiServer(_Server):
     """HTTP server of the cloud API."""
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from cairnloom.routing import crashing_parts
 from cairnloom.routing import endpoint_stats
 from cairnloom.routing import instances
 from cairnloom.routing import routes
@@ -19,6 +20,7 @@
 
     def __init__(self, *engines):
         self.registry = endpoint_stats.StatsRegistry()
+        self.crashing_parts = crashing_parts.CrashingParts('host-1')
         self.directory = instances.Directory()
         for version, (name, role) in enumerate(engines, 1):
             instance = instances.Instance(
@@ -32,6 +34,7 @@
             selection.EndpointSelector(self.registry, 'a'),
             self.directory,
             lambda service: SPEC,
+            self.crashing_parts,
         )
 
     def submit(self, name='r1', tokens=16000, left=2.4, now=0.0, **options):
@@ -241,3 +244,49 @@
         cluster.report('ended', 'r%d' % number, 3.0)
     assert cluster.is_idle()
     assert isinstance(cluster.submit('later', now=3.0), scheduler.Placement)
+
+
+def note_crashes(cluster, *engines):
+    """Have the shared part crash these engines, one after the other."""
+    parts = crashing_parts.make_keys('m', [SHARED.name])
+    for number, engine in enumerate(engines):
+        cluster.crashing_parts.note_crash(engine, parts, number, number + 0.5)
+
+
+def test_request_with_a_part_that_crashes_engines_is_not_placed():
+    cluster = Cluster(('w1', 'decode'))
+    note_crashes(cluster, 'w8', 'w9')
+    decision = cluster.submit(now=2.0)
+    assert decision.reason == 'crashed endpoints'
+    assert decision.late == 1.5 + crashing_parts.REFUSAL_SECONDS[0] - 2.0
+    assert cluster.is_idle()
+
+
+def test_request_is_placed_again_after_an_answer_has_ended():
+    cluster = Cluster(('w1', 'decode'))
+    cluster.submit(now=0.0)
+    cluster.report('begun', now=0.1)
+    note_crashes(cluster, 'w8', 'w9')
+    cluster.report('ended', now=2.0)
+    assert isinstance(cluster.submit('r2', now=2.1), scheduler.Placement)
+
+
+def test_answer_that_goes_on_shows_that_its_parts_are_sound():
+    cluster = Cluster(('w1', 'decode'))
+    cluster.submit(now=0.0)
+    cluster.report('begun', now=1.6)
+    note_crashes(cluster, 'w8', 'w9')
+    cluster.scheduler.expire(1.6 + scheduler.ANSWERING_SECONDS)
+    assert isinstance(cluster.submit('r2', now=3.0), scheduler.Placement)
+
+
+def test_answer_that_breaks_off_does_not_show_that_its_parts_are_sound():
+    cluster = Cluster(('w1', 'decode'))
+    cluster.submit(now=0.0)
+    cluster.report('begun', now=1.6)
+    note_crashes(cluster, 'w8', 'w9')
+    cluster.report('failed', now=1.7, failed='w1')
+    cluster.report('ended', now=1.7)
+    assert isinstance(
+        cluster.submit('r2', now=2.0), scheduler.PlacementRefused
+    )
