Refuse messages that crash engines at the gateway's front door too

All messages of a prompt but the last now count as shared parts, by a hash of their content; gateways report crashes and answers in their gossip, and only the first of the live members tries a refused part again. An engine may restart under its old name there, so its crashes are counted by time as well.

Test: test_message_that_crashes_engines_is_refused_in_other_prompts; on the old code the last two requests got 502 instead of 422.

--- a/src/cairnloom/gateway/answers.py
+++ b/src/cairnloom/gateway/answers.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import hashlib
 import time
 from typing import Any
 
@@ -13,6 +14,7 @@
 
 from .. import exceptions
 from ..protocol import codec
+from ..routing import crashing_parts
 
 CHARACTERS_PER_TOKEN = 4
 STREAM_END = b'data: [DONE]\n\n'
@@ -66,13 +68,15 @@
     """A validated request body with the values derived from it.
 
     ``chat`` is false for a plain text completion; ``tokens`` is the estimated
-    number of tokens in the prompt.
+    number of tokens in the prompt. ``parts`` are keys of all messages but the
+    last, which other prompts may share.
     """
 
     body: ModelBody
     chat: bool
     text: str
     tokens: int
+    parts: tuple[str, ...] = ()
 
 
 def read_prompt(data: bytes, chat: bool) -> Prompt:
@@ -91,7 +95,16 @@
     if not chat and body.prompt is None:
         raise exceptions.ProtocolError('prompt: is required')
     text = body.prompt_text()
-    return Prompt(body, chat, text, max(1, len(text) // CHARACTERS_PER_TOKEN))
+    tokens = max(1, len(text) // CHARACTERS_PER_TOKEN)
+    return Prompt(body, chat, text, tokens, _hash_shared_messages(body))
+
+
+def _hash_shared_messages(body: ModelBody) -> tuple[str, ...]:
+    hashes = (
+        hashlib.blake2b(orjson.dumps(message), digest_size=12).hexdigest()
+        for message in (body.messages or [])[:-1]
+    )
+    return crashing_parts.make_keys(body.model, hashes)
 
 
 def build_engine_body(prompt: Prompt) -> bytes:
--- a/src/cairnloom/gateway/completions.py
+++ b/src/cairnloom/gateway/completions.py
@@ -63,6 +63,7 @@
         self._last_token_at = 0.0
         self._sent_at = 0.0
         self._engine_answering = False
+        self._attempt_tokens = 0
         self._may_have_run = False
         self._completed = False
         self._sent_chunks: list[bytes] = []
@@ -76,12 +77,11 @@
             await self._refuse(refusal)
 
     def _check_before_queueing(self) -> callers.Refusal | None:
-        if self._state.quarantine.is_refused(
-            self._fingerprint, self._state.now()
-        ):
+        if self._crashes_endpoints(may_try=True):
             return callers.Refusal(
                 422,
-                'this request has crashed the endpoints that ran it',
+                'this request, or a part of its prompt, has crashed the '
+                'endpoints that ran it',
                 code='quarantined',
             )
         self._state.add_offered_work(
@@ -93,6 +93,20 @@
             self._request, self._build_work().tokens
         )
 
+    def _crashes_endpoints(self, may_try: bool) -> bool:
+        now = self._state.now()
+        if self._state.quarantine.is_refused(self._fingerprint, now):
+            return True
+        parts_that_crash = self._state.crashing_parts
+        if not parts_that_crash.is_refused(self._prompt.parts, now):
+            return False
+        if not may_try or not self._state.is_first_member():
+            return True
+        refusal = parts_that_crash.find_refusal(
+            self._prompt.parts, now, may_try=True
+        )
+        return refusal is not None
+
     async def _run_queued(self) -> callers.Refusal | None:
         admission_result = await self._wait_for_endpoint()
         if isinstance(admission_result, callers.Refusal):
@@ -142,6 +156,7 @@
         self._request.http_request.set_producer(stream.pause, stream.resume)
         self._sent_at = self._state.now()
         self._engine_answering = False
+        self._attempt_tokens = 0
         attempt = dispatch.Attempt(
             request_id=self._request.http_request.request_id,
             number=attempt_number,
@@ -167,6 +182,7 @@
             self._request.http_request.clear_producer()
             self._release_endpoint(endpoint_choice)
             self._state.reactor.callLater(0, self._admission.process_queue)
+        self._note_answered()
         self._state.endpoint_view.note_success(
             endpoint_choice.endpoint, self._state.now() - self._sent_at
         )
@@ -204,6 +220,9 @@
     def _record_token(self, endpoint_choice: choice.Choice) -> None:
         now = self._state.now()
         request_class = self._class_target.name
+        self._attempt_tokens += 1
+        if self._attempt_tokens == 2:
+            self._note_answered()
         if not self._engine_answering:
             self._engine_answering = True
             self._state.endpoint_view.note_first_token(
@@ -227,6 +246,11 @@
             )
         self._last_token_at = now
 
+    def _note_answered(self) -> None:
+        self._state.crashing_parts.note_answered(
+            self._prompt.parts, self._state.now()
+        )
+
     def _record_failure(
         self, fault: exceptions.EndpointError, endpoint_choice: choice.Choice
     ) -> None:
@@ -250,6 +274,15 @@
                     now,
                 )
             )
+            # The first token may be the last thing that an engine sends
+            # before it crashes.
+            if self._prompt.parts and self._attempt_tokens <= 1:
+                self._state.crashing_parts.note_crash(
+                    endpoint_choice.endpoint,
+                    self._prompt.parts,
+                    self._sent_at,
+                    now,
+                )
         self._state.metrics.count('attempts_failed')
 
     def _check_retry(
@@ -269,9 +302,7 @@
             return self._build_failure_refusal(
                 'the endpoint failed; the request may have run'
             )
-        if self._state.quarantine.is_refused(
-            self._fingerprint, self._state.now()
-        ):
+        if self._crashes_endpoints(may_try=False):
             return self._build_failure_refusal(
                 'this request crashes endpoints'
             )
--- a/src/cairnloom/gateway/gossip.py
+++ b/src/cairnloom/gateway/gossip.py
@@ -207,6 +207,7 @@
         peer_id = '%s.%d' % (peer_message.host, peer_message.incarnation)
         self._state.queue.merge(peer_id, peer_message.served)
         self._state.quarantine.merge(peer_message.marks, now)
+        self._state.crashing_parts.merge(peer_message.findings, now)
 
     async def _handle_exchange(
         self, request: server.JsonRequest
--- a/src/cairnloom/gateway/monitor.py
+++ b/src/cairnloom/gateway/monitor.py
@@ -30,6 +30,7 @@
         now = self._state.now()
         self._state.endpoint_view.undrain(now)
         self._state.quarantine.confirm_marks(now)
+        self._state.crashing_parts.remove_expired(now)
         engines = [
             tracked_endpoint
             for tracked_endpoint in self._state.endpoint_view.list_endpoints()
--- a/src/cairnloom/gateway/state.py
+++ b/src/cairnloom/gateway/state.py
@@ -23,6 +23,7 @@
 from ..protocol import client
 from ..protocol import messages
 from ..routing import choice
+from ..routing import crashing_parts
 from ..routing import quarantine
 from ..routing import retries
 from ..routing import views
@@ -79,6 +80,18 @@
             return 1
         return self.members.count_hosts()
 
+    def is_first_member(self) -> bool:
+        """Return whether this gateway comes first among the live ones.
+
+        It does what only one of them should do.
+        """
+        if self.members is None:
+            return False
+        live_members = self.members.live_members(self.now())
+        return all(
+            self.settings.host <= member.host for member in live_members
+        )
+
     def build_gossip_message(self) -> messages.GossipMessage:
         """Return the state that this gateway sends to a peer."""
         assert self.members is not None
@@ -92,6 +105,7 @@
             members=self.members.choose_members_to_send(),
             served=self.queue.make_message(),
             marks=self.quarantine.list_newest_marks(now),
+            findings=self.crashing_parts.list_findings(now),
         )
 
     def start_membership(self, address: str) -> None:
@@ -140,5 +154,6 @@
         self.team_limits = limits.TeamLimits()
         self.retry_budget = retries.RetryBudget()
         self.quarantine = quarantine.Quarantine(self.owner)
+        self.crashing_parts = crashing_parts.CrashingParts(self.owner)
         self.team_usage = usage.UsageAccumulator(self.owner)
         self.offered_work: dict[str, OfferedWork] = {}
--- a/src/cairnloom/protocol/messages.py
+++ b/src/cairnloom/protocol/messages.py
@@ -10,6 +10,7 @@
 from ..admission import queues
 from ..coordination import documents
 from ..coordination import membership
+from ..routing import crashing_parts
 from ..routing import quarantine
 
 # Whether a request has run, as reported to its caller.
@@ -23,7 +24,8 @@
     ``age`` is the time in seconds since the sender last knew that its version
     of the configuration was the newest; ``vouches`` is true if the sender has
     not restarted since then. ``served`` counts the tokens served per class and
-    team; ``marks`` are the crash marks of quarantined requests.
+    team; ``marks`` are the crash marks of quarantined requests, and
+    ``findings`` what the sender knows of prompt parts that crash engines.
     """
 
     host: str
@@ -34,6 +36,7 @@
     members: list[membership.Member]
     served: list[queues.ServedTokens]
     marks: list[quarantine.CrashMark]
+    findings: crashing_parts.Findings = crashing_parts.Findings()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/routing/crashing_parts.py
+++ b/src/cairnloom/routing/crashing_parts.py
@@ -386,7 +386,7 @@
         common_parts = set.intersection(
             *(set(self._list_suspects(crash)) for crash in evidence)
         )
-        crash_count = len({crash.report.endpoint for crash in evidence})
+        crash_count = _count_crashes(evidence)
         step = min(crash_count - MIN_CRASHES, len(REFUSAL_SECONDS) - 1)
         latest_crash_at = max(crash.crashed_at for crash in evidence)
         return Refusal(
@@ -396,6 +396,19 @@
         )
 
 
+def _count_crashes(reports: list[_Crash]) -> int:
+    """Return the number of crashes that several reports tell of."""
+    last_crash_at: dict[str, float] = {}
+    count = 0
+    for crash in sorted(reports, key=lambda crash: crash.crashed_at):
+        endpoint = crash.report.endpoint
+        previous_at = last_crash_at.get(endpoint, float('-inf'))
+        if crash.crashed_at - previous_at >= SAME_CRASH_SECONDS:
+            count += 1
+        last_crash_at[endpoint] = crash.crashed_at
+    return count
+
+
 def _find_chain(crashes: list[_Crash]) -> list[_Crash]:
     """Return the longest sequence of crashes that are independent evidence.
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -89,6 +89,14 @@
     assert not parts.find_refusal((DEADLY,), second_until, may_try=True)
 
 
+def test_crashes_of_an_engine_that_keeps_its_name_are_counted():
+    parts = make_detector((DEADLY,), (DEADLY,))
+    parts.note_crash('e0', (DEADLY,), 40.0, 40.5)
+    (refusal,) = parts.list_refusals()
+    assert refusal.crash_count == 3
+    assert refusal.until == 40.5 + crashing_parts.REFUSAL_SECONDS[1]
+
+
 def test_answered_trial_ends_the_refusal():
     parts = make_detector((OTHER,), (OTHER,))
     until = 1.5 + crashing_parts.REFUSAL_SECONDS[0]
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -175,6 +175,28 @@
     )
 
 
+def test_message_that_crashes_engines_is_refused_in_other_prompts(system):
+    def ask(host, system_message, question):
+        messages = [
+            {'role': 'system', 'content': system_message},
+            {'role': 'user', 'content': question},
+        ]
+        return system.send_chat(
+            host, system.key, messages=messages, max_tokens=2
+        )[0]
+
+    hosts = ('host-1', 'host-2', 'host-3')
+    statuses = []
+    for number in range(5):
+        question = 'question %d' % number
+        statuses.append(ask(hosts[number % 3], 'crash-this-engine', question))
+        time.sleep(2.5)
+    assert statuses[-2:] == [422, 422]
+    assert system.read_record()['crashes'] <= 3
+    for host in hosts:
+        assert ask(host, 'harmless', 'question 0') == 200
+
+
 def test_graceful_stop_completes_running_requests(system):
     requests = [
         BackgroundRequest(system, 'host-2', system.key, max_tokens=60)
