Bound what is read of an answer that does not end

An endpoint in trouble may send header lines, or a body, until the caller closes. The one-process program read on until the route's timeout, and kept all of it: on a link of 1,000 Mbit/s that is more than a host's memory within three seconds. The client for peers, store and platform gave up on a reply over 16 MiB but neither closed its connection nor stopped collecting; the gateway collected claimed answers, and discarded failure responses, without end.

Now a head ends at 64 KiB, a body that is read as a whole at 16 MiB and an event at 1 MiB, and the connection is closed. Such an end is not taken for a crash of the endpoint. Answers without a length that end with their connection were right already; they get tests.

--- a/src/cairnloom/entry/attempts.py
+++ b/src/cairnloom/entry/attempts.py
@@ -5,7 +5,6 @@
 on as they arrive.
 """
 
-from typing import Any
 from typing import Callable
 
 from .. import exceptions
@@ -96,16 +95,15 @@
     request: requests.Request,
     instance: instances.Instance,
     phase: work.Phase,
-    on_data: Any,
-) -> tuple[work.ResponseHead, bool]:
+) -> tuple[work.ResponseHead, bytes, bool]:
     """Send a request whose answer is not passed on to the caller.
 
-    Return the head of the answer and whether its body is complete. Raises
-    :class:`~cairnloom.exceptions.EndpointError`.
+    Return the head of the answer, its body and whether the body is complete.
+    Raises :class:`~cairnloom.exceptions.EndpointError`.
     """
     response, head = await _open(request, instance, phase, True)
-    complete = await response.read(on_data)
-    return head, complete
+    body, complete = await response.read_whole()
+    return head, body, complete
 
 
 async def _open(
@@ -153,7 +151,6 @@
     instance: instances.Instance,
     phase: work.Phase,
 ) -> outcomes.Outcome:
-    body = bytearray()
     sent_at = request.host.now()
     try:
         response, head = await _open(
@@ -163,18 +160,18 @@
         return _classify_fault(fault)
     if not head.not_run:
         request.count_usage(sent_at)
-    complete = await response.read(body.extend)
+    body, complete = await response.read_whole()
     if head.not_run:
         return outcomes.NotRun('status %d' % head.status, True)
+    if response.too_large:
+        return outcomes.Failed('body too large')
     if not complete:
         return outcomes.Failed('broken off', True)
     if not head.signed:
         return outcomes.Failed('status %d without signature' % head.status)
     if head.status >= _SERVER_ERROR:
-        return outcomes.Failed(
-            'status %d' % head.status, False, head, bytes(body)
-        )
-    request.caller.answer(head.status, list(head.headers), bytes(body))
+        return outcomes.Failed('status %d' % head.status, False, head, body)
+    request.caller.answer(head.status, list(head.headers), body)
     return outcomes.Answered()
 
 
@@ -236,14 +233,13 @@
     async def _read_failure(
         self, response: upstream.EndpointResponse, head: work.ResponseHead
     ) -> outcomes.Outcome:
-        body = bytearray()
-        complete = await response.read(body.extend)
+        body, complete = await response.read_whole()
         reason = 'status %d' % head.status
         if head.not_run:
             return outcomes.NotRun(reason, True)
         if not complete or not head.signed:
             return outcomes.Failed(reason)
-        return outcomes.Failed(reason, False, head, bytes(body))
+        return outcomes.Failed(reason, False, head, body)
 
     def _handle_data(self, data: bytes) -> None:
         if self._reject_reason or self._response is None:
@@ -253,6 +249,9 @@
             if self._reject_reason:
                 self._response.drop()
                 return
+        if self._events.too_large:
+            self._reject_reason = 'event too large'
+            self._response.drop()
 
     def _forward_event(self, event: events.StreamEvent) -> str:
         """Pass an event on to the caller.
--- a/src/cairnloom/entry/events.py
+++ b/src/cairnloom/entry/events.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+MAX_EVENT_BYTES = 1024 * 1024
+
 
 @dataclasses.dataclass(frozen=True)
 class StreamEvent:
@@ -46,6 +48,11 @@
         """Whether the stream so far ends with an incomplete event."""
         return bool(self._buffer)
 
+    @property
+    def too_large(self) -> bool:
+        """Whether the incomplete event has more than MAX_EVENT_BYTES."""
+        return len(self._buffer) > MAX_EVENT_BYTES
+
 
 def _read_number(event: bytes) -> int | None:
     for line in event.split(b'\n'):
--- a/src/cairnloom/entry/generation.py
+++ b/src/cairnloom/entry/generation.py
@@ -193,17 +193,16 @@
             return outcomes.Rejected('retry budget')
         self._tried.add(prefill_engine.name)
         started_at = self._host.now()
-        body = bytearray()
         phase = work.Prefill(self._find_netloc(placement.neighbour))
         try:
-            head, complete = await attempts.call_endpoint(
-                request, prefill_engine, phase, body.extend
+            head, body, complete = await attempts.call_endpoint(
+                request, prefill_engine, phase
             )
             if head.status != 200 or not complete:
                 if head.not_run:
                     request.endpoints_reached += 1
                 raise exceptions.EndpointError('status %d' % head.status, True)
-            cache = self._host.header_codec.read_cache_handle(bytes(body))
+            cache = self._host.header_codec.read_cache_handle(body)
         except (exceptions.EndpointError, exceptions.ProtocolError) as fault:
             return self._note_prefill_failed(prefill_engine, fault, started_at)
         seconds = self._host.now() - started_at
--- a/src/cairnloom/entry/upstream.py
+++ b/src/cairnloom/entry/upstream.py
@@ -21,7 +21,6 @@
 
 from .. import exceptions
 from ..protocol import client as http_client
-from ..protocol import sockets
 from ..routing import instances
 
 # A reachable endpoint accepts a connection within a few milliseconds.
@@ -34,13 +33,13 @@
 # request fails if the endpoint closes the connection just as it is sent.
 REUSE_SHARE = 0.75
 REUSE_SHARE_UNREPEATABLE = 0.4
+# The longest body that is read as a whole.
+MAX_BODY_BYTES = 16 * 1024 * 1024
 
 
-class _Connection(_newclient.HTTP11ClientProtocol):
+class _Connection(http_client.BoundedConnection):
     """A connection to an endpoint, and whether it can be reused."""
 
-    transport: Any
-
     def __init__(
         self,
         on_idle: Callable[['_Connection'], None],
@@ -66,7 +65,6 @@
 
     def connectionMade(self) -> None:
         super().connectionMade()
-        sockets.enable_keepalive(self.transport)
         self._on_connected(self)
 
     def send(self, request: Any) -> defer.Deferred[Any]:
@@ -142,6 +140,7 @@
         self._connection = connection
         self._response = response
         self._ended = False
+        self.too_large = False
         self.status: int = response.code
         self.headers: http_headers.Headers = response.headers
 
@@ -167,6 +166,25 @@
         self._response.deliverBody(_BodyReceiver(on_data, on_end))
         return await done
 
+    async def read_whole(self) -> tuple[bytes, bool]:
+        """Return the body, and whether it is complete.
+
+        If it has more than MAX_BODY_BYTES, the connection is closed and
+        ``too_large`` is set.
+        """
+        body = bytearray()
+
+        def add(data: bytes) -> None:
+            if self.too_large:
+                return
+            body.extend(data)
+            if len(body) > MAX_BODY_BYTES:
+                self.too_large = True
+                self.drop()
+
+        complete = await self.read(add)
+        return bytes(body), complete and not self.too_large
+
     def drop(self) -> None:
         """Close the connection, so that the endpoint stops its work."""
         if not self._ended:
@@ -233,6 +251,10 @@
             connection.drop()
             if http_client.is_cancelled(fault):
                 raise defer.CancelledError() from fault
+            if connection.head_too_large:
+                raise exceptions.EndpointError(
+                    'head too large', True
+                ) from fault
             raise exceptions.EndpointError(
                 _describe(fault), True, connection_lost=True
             ) from fault
--- a/src/cairnloom/gateway/calls.py
+++ b/src/cairnloom/gateway/calls.py
@@ -79,10 +79,14 @@
 
     def take(self, data: bytes) -> None:
         """Send the next bytes to the caller, or collect them if buffered."""
+        if self.done.called:
+            return
         if not self._buffered:
             self._http_request.write(data)
             return
         self.body += data
+        if len(self.body) > client.MAX_REPLY_BYTES:
+            self.finish(False)
 
     def finish(self, complete: bool) -> None:
         """Handle the end of the body."""
@@ -183,6 +187,7 @@
         complete = await relay.done
         self._request.http_request.clear_producer()
         if not complete:
+            reply.cancel()
             self._state.endpoint_view.note_failure(
                 endpoint_choice.endpoint, self._state.now()
             )
--- a/src/cairnloom/gateway/dispatch.py
+++ b/src/cairnloom/gateway/dispatch.py
@@ -23,6 +23,8 @@
 HEAD_TIMEOUT_TARGET_FACTOR = 4.0
 IDLE_TIMEOUT_SECONDS = 15.0
 MAX_EVENT_BYTES = 1024 * 1024
+# Closing a connection is cheaper than reading more than this.
+MAX_DISCARDED_BYTES = 64 * 1024
 DATA_FIELD = b'data:'
 END_MARKER = b'[DONE]'
 
@@ -217,7 +219,7 @@
         if self._reply.status == 200:
             return
         status = self._reply.status
-        self._reply.read_into(_DiscardingSink())
+        self._reply.read_into(_DiscardingSink(self._reply.cancel))
         # With 503 an engine states that it did not accept the request.
         raise exceptions.EndpointError(
             'engine answered %d' % status,
@@ -227,10 +229,20 @@
 
 
 class _DiscardingSink:
-    """Read and discard a body, so that the connection can be reused."""
+    """Read and discard a body, so that the connection can be reused.
+
+    ``cancel`` is called instead if the body does not end soon.
+    """
+
+    def __init__(self, cancel: Callable[[], None]) -> None:
+        self._cancel = cancel
+        self._byte_count = 0
 
     def take(self, data: bytes) -> None:
         """Discard the bytes."""
+        self._byte_count += len(data)
+        if self._byte_count > MAX_DISCARDED_BYTES:
+            self._cancel()
 
     def finish(self, complete: bool) -> None:
         """Ignore the end of the body."""
--- a/src/cairnloom/protocol/client.py
+++ b/src/cairnloom/protocol/client.py
@@ -27,6 +27,7 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 IDLE_CONNECTION_SECONDS = 20.0
 CONNECTIONS_PER_ADDRESS = 64
+MAX_HEAD_BYTES = 64 * 1024
 MAX_REPLY_BYTES = 16 * 1024 * 1024
 
 _NOTHING_SENT_ERRORS = (
@@ -81,6 +82,8 @@
         self._body = io.BytesIO()
 
     def take(self, data: bytes) -> None:
+        if self.done.called:
+            return
         self._body.write(data)
         if self._body.tell() > MAX_REPLY_BYTES:
             self._fail('reply too large')
@@ -157,19 +160,40 @@
         return await collector.done
 
 
-class _KeepaliveProtocol(_newclient.HTTP11ClientProtocol):
-    """A connection with TCP keepalive."""
+class BoundedConnection(_newclient.HTTP11ClientProtocol):
+    """A connection with TCP keepalive that bounds the size of heads.
+
+    If the head of a response has more than MAX_HEAD_BYTES, the connection is
+    aborted and ``head_too_large`` is set.
+    """
+
+    transport: Any
+
+    def __init__(self, on_idle: Any) -> None:
+        super().__init__(on_idle)
+        self.head_too_large = False
+        self._head_bytes = 0
 
     def connectionMade(self) -> None:
         super().connectionMade()
         sockets.enable_keepalive(self.transport)
 
+    def dataReceived(self, data: bytes) -> None:
+        super().dataReceived(data)
+        if self._parser is None or self._parser.state == _newclient.BODY:
+            self._head_bytes = 0
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self.head_too_large = True
+            self.transport.abortConnection()
+
 
-class _KeepaliveFactory(client._HTTP11ClientFactory):
-    """Factory of connections with TCP keepalive."""
+class _ConnectionFactory(client._HTTP11ClientFactory):
+    """Factory of bounded connections."""
 
     def buildProtocol(self, addr: Any) -> _newclient.HTTP11ClientProtocol:
-        return _KeepaliveProtocol(self._quiescentCallback)
+        return BoundedConnection(self._quiescentCallback)
 
 
 def is_cancelled(fault: BaseException) -> bool:
@@ -200,7 +224,7 @@
         self._reactor = reactor
         resolver.install_resolver(reactor)
         self._pool = client.HTTPConnectionPool(reactor, persistent=True)
-        self._pool._factory = _KeepaliveFactory
+        self._pool._factory = _ConnectionFactory
         self._pool.retryAutomatically = False
         self._pool.maxPersistentPerHost = CONNECTIONS_PER_ADDRESS
         self._pool.cachedConnectionTimeout = int(IDLE_CONNECTION_SECONDS)
@@ -281,7 +305,7 @@
         except defer.TimeoutError as fault:
             reply.cancel()
             raise exceptions.TransportError('body too slow', True) from fault
-        except defer.CancelledError:
+        except (defer.CancelledError, exceptions.TransportError):
             reply.cancel()
             raise
         self.exchanges += 1
--- a/src/cairnloom/standins/atlas.py
+++ b/src/cairnloom/standins/atlas.py
@@ -206,6 +206,11 @@
     - ``cut``: the connection is closed in the middle of the body
     - ``tear``: a stream is reset in the middle of its third event
     - ``again``: the second event of a stream is sent twice
+    - ``flood-head``: header lines without end, until the caller closes
+    - ``flood-body``: a body without end or events, until the caller closes
+    - ``unframed``: a body without a length, which ends with the connection
+    - ``unframed-cut``: the same, reset before its end; streams are closed
+      inside an event instead
 
     ``handles`` names the KV caches held for a decode, and ``cached`` gives
     the tokens of each cached prompt part. A request with one of the prompt
@@ -224,6 +229,7 @@
     handles: set[str] = dataclasses.field(default_factory=set)
     freed_handles: list[str] = dataclasses.field(default_factory=list)
     orders: list[dict[str, Any]] = dataclasses.field(default_factory=list)
+    flooded_bytes: int = 0
     cached: dict[str, int] = dataclasses.field(default_factory=dict)
     deadly_parts: frozenset[str] = frozenset()
     crashes: int = 0
@@ -468,7 +474,9 @@
             return
         faults = self._endpoint.planned_faults
         fault = faults.popleft() if faults else ''
-        if received.header(names.ROLE) == 'prefill':
+        if fault.startswith(('flood', 'unframed')):
+            self._answer_raw(request, received, fault)
+        elif received.header(names.ROLE) == 'prefill':
             self.reactor.callLater(
                 self._endpoint.prefill_seconds, self._prefill, request, fault
             )
@@ -477,6 +485,37 @@
         else:
             self._serve(request, received, fault)
 
+    def _answer_raw(
+        self, request: _Request, received: ReceivedRequest, fault: str
+    ) -> None:
+        """Answer without a length, on a connection that ends afterwards."""
+        transport = request.channel.transport
+        fields = self._answer_headers(received)
+        lines = [b'%s: %s' % field for field in fields.items()]
+        transport.write(b'HTTP/1.1 200 OK\r\n%s\r\n' % b'\r\n'.join(lines))
+        match fault:
+            case 'flood-head':
+                _Flood(transport, self._endpoint, b'X-Flood: flood\r\n')
+                return
+            case 'flood-body':
+                transport.write(b'\r\n')
+                _Flood(transport, self._endpoint, b'data: flood\n')
+                return
+        body = b'%s %s' % (self._endpoint.name.encode(), received.body)
+        if 'text/event-stream' in received.header(b'Accept'):
+            body = b''.join(
+                b'id: %d\ndata: event-%d\n\n' % (number, number)
+                for number in range(1, EVENT_COUNT + 1)
+            )
+            if fault == 'unframed-cut':
+                body = body[:-3]
+        elif fault == 'unframed-cut':
+            transport.write(b'\r\n' + body)
+            self.reactor.callLater(EVENT_SECONDS, request.reset)
+            return
+        transport.write(b'\r\n' + body)
+        transport.loseConnection()
+
     def _answer_headers(self, received: ReceivedRequest) -> dict[bytes, bytes]:
         return {
             names.REQUEST_ID: received.header(names.REQUEST_ID).encode(),
@@ -581,6 +620,27 @@
         return True
 
 
+class _Flood:
+    """Sends bytes without end, as fast as the peer reads them."""
+
+    def __init__(
+        self, transport: Any, endpoint: Endpoint, line: bytes
+    ) -> None:
+        self._transport = transport
+        self._endpoint = endpoint
+        self._data = line * 1000
+        transport.unregisterProducer()
+        transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:
+        """Send the next bytes."""
+        self._endpoint.flooded_bytes += len(self._data)
+        self._transport.write(self._data)
+
+    def stopProducing(self) -> None:
+        """Do nothing; no more bytes are asked for."""
+
+
 def _list_parts(received: ReceivedRequest) -> set[str]:
     items = received.header(names.PROMPT_PARTS).split(',')
     return {item.partition(':')[0].strip() for item in items}
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -12,7 +12,11 @@
 import orjson
 import pytest
 from twisted.internet import defer
+from twisted.web import http_headers
 
+from cairnloom.entry import upstream
+from cairnloom import exceptions
+from cairnloom.protocol import client
 from cairnloom.standins import atlas
 
 
@@ -247,6 +251,72 @@
     assert serving_endpoints
 
 
+@pytest.mark.parametrize('fault', ['flood-head', 'flood-body'])
+@pytest.mark.parametrize('path', ['/safe/', '/chat/x'])
+def test_bytes_without_end_are_not_read_until_the_deadline(
+    deploy, fault, path
+):
+    endpoints = [make_endpoint('d1', [fault]), make_engine('w1', '', [fault])]
+    deployment = deploy(*endpoints)
+    started_at = time.monotonic()
+    if path == '/safe/':
+        answer = deployment.call(path, Deadline_Ms='30000')
+    else:
+        answer = deployment.ask_model(path, Deadline_Ms='30000')
+    assert answer.status in (502, 503)
+    # Well before the timeout of the route.
+    assert time.monotonic() - started_at < 1.5
+    flooded_bytes = sum(endpoint.flooded_bytes for endpoint in endpoints)
+    assert 0 < flooded_bytes < 2 * upstream.MAX_BODY_BYTES
+    time.sleep(0.1)
+    assert flooded_bytes == sum(
+        endpoint.flooded_bytes for endpoint in endpoints
+    )
+
+
+@pytest.mark.parametrize('fault', ['flood-head', 'flood-body'])
+def test_reply_without_end_ends_the_exchange(deploy, fault):
+    endpoint = make_endpoint('d1', [fault])
+    deploy(endpoint, start=False)
+    url = 'http://127.0.0.1:%d/' % endpoint.port
+
+    async def exchange():
+        http_client = client.HttpClient(atlas_deployment.reactor)
+        headers = http_headers.Headers({b'Expect-Instance': [b'd1']})
+        await http_client.exchange('GET', url, b'', 5.0, headers)
+
+    started_at = time.monotonic()
+    with pytest.raises(exceptions.TransportError):
+        atlas_deployment.await_in_reactor(exchange)
+    assert time.monotonic() - started_at < 4.0
+    time.sleep(0.1)
+    flooded_bytes = endpoint.flooded_bytes
+    assert 0 < flooded_bytes < 2 * client.MAX_REPLY_BYTES
+    time.sleep(0.1)
+    assert endpoint.flooded_bytes == flooded_bytes
+
+
+def test_answer_that_ends_with_its_connection_is_whole(deploy):
+    deployment = deploy(
+        make_endpoint('d1', ['unframed']), make_engine('w1', '', ['unframed'])
+    )
+    answer = deployment.call('/once/x', 'POST', b'order')
+    assert (answer.status, answer.body) == (200, b'd1 order')
+    answer = deployment.ask_model()
+    assert (answer.whole, answer.body) == (True, make_full_stream())
+
+
+def test_answer_that_is_reset_before_its_end_is_not_whole(deploy):
+    deployment = deploy(
+        make_endpoint('d1', ['unframed-cut']),
+        make_engine('w1', '', ['unframed-cut']),
+    )
+    assert deployment.call('/once/x', 'POST', b'order').status == 502
+    answer = deployment.ask_model()
+    assert not answer.whole
+    assert make_full_stream().startswith(answer.body)
+
+
 def test_stray_bytes_after_an_answer_are_not_passed_on(deploy):
     endpoint = make_endpoint('d1', ['extra'])
     deployment = deploy(endpoint)
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -1,7 +1,8 @@
 """Tests of HTTP request parsing with malformed and hostile raw requests.
 
 Both programs that serve callers, the single-process program and the gateway
-daemon, must answer each raw request with the status listed for it.
+daemon, must answer each raw request with the status listed for it. Endpoints can
+be hostile too: their answers need not end.
 """
 
 import socket
@@ -11,6 +12,9 @@
 import processes
 import pytest
 
+from cairnloom.gateway import calls
+from cairnloom.gateway import dispatch
+from cairnloom.protocol import client
 from cairnloom.standins import atlas
 
 GET_HEAD = b'GET /open/ HTTP/1.1\r\nHost: service.example\r\nAttempt-Id: r\r\n'
@@ -140,3 +144,21 @@
     )
     program.raw(request_template % 5, seconds=1.0)
     assert not any('smuggled' in target for target in program.list_targets())
+
+
+def test_gateway_closes_a_failure_response_without_end():
+    closed = []
+    sink = dispatch._DiscardingSink(lambda: closed.append(True))
+    for _ in range(dispatch.MAX_DISCARDED_BYTES // 1000):
+        sink.take(b'x' * 1000)
+    assert not closed
+    sink.take(b'x' * 1000)
+    assert closed
+
+
+def test_gateway_does_not_collect_an_answer_without_end():
+    relay = calls._BodyRelay(None, buffered=True)
+    for _ in range(2):
+        relay.take(b'x' * client.MAX_REPLY_BYTES)
+    assert relay.done.result is False
+    assert len(relay.body) <= 2 * client.MAX_REPLY_BYTES
