--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -1,8 +1,8 @@
-"""Tests of HTTP request parsing with malformed and hostile raw requests.
+"""Tests of HTTP parsing with malformed and hostile bytes.
 
 Both programs that serve callers, the single-process program and the gateway
-daemon, must answer each raw request with the status listed for it. Endpoints can
-be hostile too: their answers need not end.
+daemon, must answer each raw request with the status listed for it. Endpoints
+can be hostile too: their answers need not end.
 """
 
 import socket
