Keep limits on requests for long prompts

Cause: a limit counts requests, but was used by whichever request came first, so half of it went to prompts of 1,400 tokens while prompts of 17,000 tokens piled up at the engine without a limit.

Now a prompt shorter than the average uses a limited engine only if no other can serve it in time, or if what is not used of the limit would be lost.

Test: test_limits_are_kept_for_long_prompts fails without the rule; two more guard its exceptions.

--- a/src/cairnloom/routing/rate_limits.py
+++ b/src/cairnloom/routing/rate_limits.py
@@ -61,6 +61,12 @@
     filled_at: float = 0.0
     share: float = 0.0
 
+    def get_most_requests(self, share: float) -> float:
+        """Return how many requests may be saved up."""
+        if share < 1.0 or self.rate is None:
+            return 1.0
+        return max(MIN_BURST, self.rate * BURST_SECONDS)
+
 
 class RateLimits:
     """The limits of all endpoints, and what is left of them.
@@ -138,17 +144,27 @@
             limit.share = share
             return NO_HUB_WAIT_SECONDS
         rate = max(limit.rate, MIN_RATE) * share
-        most_requests = (
-            max(MIN_BURST, rate * BURST_SECONDS) if share == 1.0 else 1.0
-        )
         if not limit.share:
             limit.allowance, limit.filled_at = 0.0, now
         gained_requests = (now - limit.filled_at) * rate
-        limit.allowance = min(most_requests, limit.allowance + gained_requests)
+        limit.allowance = min(
+            limit.get_most_requests(share), limit.allowance + gained_requests
+        )
         limit.filled_at = now
         limit.share = share
         return max(0.0, (1.0 - limit.allowance) / rate)
 
+    def is_saved_up(
+        self, endpoint: str, now: float, share: float = 1.0
+    ) -> bool:
+        """Return whether what is not used of the limit now is lost."""
+        limit = self._limits.get(endpoint)
+        if limit is None or limit.rate is None:
+            return True
+        if self.find_wait(endpoint, now, share):
+            return False
+        return limit.allowance >= limit.get_most_requests(share)
+
     def take(self, endpoint: str, now: float, share: float = 1.0) -> float:
         """Count a request to an endpoint.
 
--- a/src/cairnloom/routing/scheduler.py
+++ b/src/cairnloom/routing/scheduler.py
@@ -28,6 +28,8 @@
 CACHE_SHARE = 0.8
 # An answer that has gone on for this long shows that the engine survives it.
 ANSWERING_SECONDS = 1.0
+# The weight of a new prompt in the average length of prompts.
+PROMPT_LENGTH_WEIGHT = 0.02
 
 
 @dataclasses.dataclass(frozen=True)
@@ -153,6 +155,7 @@
         self._find_spec = find_spec
         self._crashing_parts = parts_that_crash
         self._rate_limits = limits
+        self._mean_prompt_tokens: dict[str, float] = {}
         self._groups_by_service: dict[str, selection.EngineGroups] = {}
         self._groups_revision = -1
         self._reservations: dict[str, _Reservation] = {}
@@ -184,41 +187,13 @@
             return PlacementRefused(
                 'crashed endpoints', max(0.0, refusal.until - now)
             )
-        listed_engines = self._list_engines(placement_request)
-        engines = self._drop_limited(listed_engines, now, limit_share)
-        if listed_engines.decode.members and not engines.decode.members:
-            return PlacementRefused(
-                'rate limit',
-                min(
-                    self._find_wait(engine, now, limit_share)
-                    for engine in listed_engines.decode.members
-                ),
-            )
-        spec = self._find_spec(placement_request.service)
-        if placement_request.cache_at:
-            decision = self._place_decode(
-                host, placement_request, engines, spec, now
-            )
-            if isinstance(decision, Placement):
-                self._take_from_limit(decision.answering, now, limit_share)
-            return decision
-        plan = self._selector.plan(
-            engines,
-            placement_request.work,
-            placement_request.targets,
-            placement_request.urgency,
-            spec,
-            now,
+        is_short = self._note_prompt_length(placement_request)
+        engines = self._list_engines(placement_request)
+        if self._rate_limits.is_empty():
+            return self._place_on(host, placement_request, engines, now)
+        return self._place_within_limits(
+            host, placement_request, engines, is_short, now, limit_share
         )
-        if plan is None:
-            return PlacementRefused('no engine')
-        late_seconds = plan.seconds - placement_request.left
-        if late_seconds > 0 and not placement_request.resumes:
-            return PlacementRefused('too late', late_seconds)
-        placement = self._reserve(host, placement_request, plan, spec, now)
-        for name in {placement.reading, placement.answering}:
-            self._take_from_limit(name, now, limit_share)
-        return placement
 
     def handle_event(self, event: PlacementEvent, now: float) -> None:
         """Update the reservation of a request after an event."""
@@ -324,31 +299,95 @@
             selection.EngineGroup(decode_engines),
         )
 
-    def _drop_limited(
-        self, engines: selection.EngineGroups, now: float, limit_share: float
-    ) -> selection.EngineGroups:
-        """Return the engines without those that take no request now."""
-        if self._rate_limits.is_empty():
-            return engines
-        return selection.EngineGroups(
-            *(
-                selection.EngineGroup(
-                    [
-                        engine
-                        for engine in group.members
-                        if not self._find_wait(engine, now, limit_share)
-                    ]
-                )
-                for group in (engines.prefill, engines.decode)
+    def _place_on(
+        self,
+        host: str,
+        placement_request: PlacementRequest,
+        engines: selection.EngineGroups,
+        now: float,
+    ) -> Decision:
+        """Choose among these engines, and reserve capacity there."""
+        spec = self._find_spec(placement_request.service)
+        if placement_request.cache_at:
+            return self._place_decode(
+                host, placement_request, engines, spec, now
             )
+        plan = self._selector.plan(
+            engines,
+            placement_request.work,
+            placement_request.targets,
+            placement_request.urgency,
+            spec,
+            now,
         )
+        if plan is None:
+            return PlacementRefused('no engine')
+        late_seconds = plan.seconds - placement_request.left
+        if late_seconds > 0 and not placement_request.resumes:
+            return PlacementRefused('too late', late_seconds)
+        return self._reserve(host, placement_request, plan, spec, now)
+
+    def _place_within_limits(
+        self,
+        host: str,
+        placement_request: PlacementRequest,
+        engines: selection.EngineGroups,
+        is_short: bool,
+        now: float,
+        limit_share: float,
+    ) -> Decision:
+        """Choose among the engines that take another request now.
+
+        A limit counts requests whatever their size. So it is kept for long
+        prompts, while other engines can serve short ones or nothing of the
+        limit would be lost.
+        """
+        limits = self._rate_limits
+
+        def takes_request(engine: endpoint_stats.Candidate) -> bool:
+            key = engine.instance.run_key
+            return not limits.find_wait(key, now, limit_share)
 
-    def _find_wait(
-        self, engine: endpoint_stats.Candidate, now: float, limit_share: float
-    ) -> float:
-        return self._rate_limits.find_wait(
-            engine.instance.run_key, now, limit_share
+        def takes_short_prompt(engine: endpoint_stats.Candidate) -> bool:
+            key = engine.instance.run_key
+            return limits.is_saved_up(key, now, limit_share)
+
+        usable_engines = _select_engines(engines, takes_request)
+        if engines.decode.members and not usable_engines.decode.members:
+            waits = [
+                limits.find_wait(engine.instance.run_key, now, limit_share)
+                for engine in engines.decode.members
+            ]
+            return PlacementRefused('rate limit', min(waits))
+        decision: Decision | None = None
+        if is_short:
+            decision = self._place_on(
+                host,
+                placement_request,
+                _select_engines(engines, takes_short_prompt),
+                now,
+            )
+        if not isinstance(decision, Placement):
+            decision = self._place_on(
+                host, placement_request, usable_engines, now
+            )
+        if isinstance(decision, Placement):
+            names = {decision.answering}
+            if not placement_request.cache_at:
+                names.add(decision.reading)
+            for name in names:
+                self._take_from_limit(name, now, limit_share)
+        return decision
+
+    def _note_prompt_length(self, placement_request: PlacementRequest) -> bool:
+        """Return whether a prompt is shorter than recent ones on average."""
+        service = placement_request.service
+        tokens = placement_request.work.prompt_tokens
+        mean_tokens = self._mean_prompt_tokens.get(service, float(tokens))
+        self._mean_prompt_tokens[service] = (
+            mean_tokens + (tokens - mean_tokens) * PROMPT_LENGTH_WEIGHT
         )
+        return tokens < mean_tokens
 
     def _take_from_limit(
         self, name: str, now: float, limit_share: float
@@ -579,6 +618,18 @@
     )
 
 
+def _select_engines(
+    engines: selection.EngineGroups,
+    is_wanted: Callable[[endpoint_stats.Candidate], bool],
+) -> selection.EngineGroups:
+    return selection.EngineGroups(
+        selection.EngineGroup(
+            list(filter(is_wanted, engines.prefill.members))
+        ),
+        selection.EngineGroup(list(filter(is_wanted, engines.decode.members))),
+    )
+
+
 def _filter_engines(
     engines: list[endpoint_stats.Candidate],
     placement_request: PlacementRequest,
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -336,3 +336,37 @@
     cluster.submit(now=1.0, cache_at='p1')
     waits = [cluster.rate_limits.find_wait(key, 1.0) for key in keys]
     assert waits == [0.0, 1.0]
+
+
+def submit_beside_busy_engine(cluster, *lengths, now):
+    """Submit prompts one after the other while w2 is busy."""
+    for number in range(3):
+        cluster.submit('busy-%d' % number, 16000, 9.0, now, tried=['w1'])
+    return [
+        cluster.submit('r%d' % tokens, tokens, 9.0, now).answering
+        for tokens in lengths
+    ]
+
+
+def test_limits_are_kept_for_long_prompts():
+    cluster = Cluster(('w1', 'decode'), ('w2', 'decode'))
+    limit_engine(cluster, 'w1', 1.0)
+    # One request, of the two that may be saved up, is left of the limit.
+    chosen = submit_beside_busy_engine(cluster, 14000, 16500, now=1.5)
+    assert chosen == ['w2', 'w1']
+
+
+def test_short_prompts_use_what_would_be_lost_of_a_limit():
+    cluster = Cluster(('w1', 'decode'), ('w2', 'decode'))
+    limit_engine(cluster, 'w1', 1.0)
+    chosen = submit_beside_busy_engine(cluster, 14000, now=2.5)
+    assert chosen == ['w1']
+
+
+def test_short_prompts_are_not_refused_while_a_limit_is_left():
+    cluster = Cluster(('w1', 'decode'))
+    limit_engine(cluster, 'w1', 1.0)
+    cluster.submit('long', 16000, now=1.5)
+    cluster.report('ended', 'long', 1.5)
+    decision = cluster.submit('short', 14000, now=2.0)
+    assert decision.answering == 'w1'
