--- a/src/cairnloom/entry/status.py
+++ b/src/cairnloom/entry/status.py
@@ -14,7 +14,8 @@
     ``busy`` estimates those of all hosts. ``waiting_tokens`` is the number of
     prompt tokens that are queued there. ``avoided`` is set if this host avoids
     the endpoint after failures. ``cached_parts`` is the number of prompt parts
-    that this host has recorded as cached there.
+    that this host has recorded as cached there. ``rate_limit`` is the number
+    of requests per second to which the endpoint limits all hosts together.
     """
 
     name: str
@@ -28,6 +29,7 @@
     waiting_tokens: int
     avoided: bool
     cached_parts: int
+    rate_limit: float | None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -39,7 +41,8 @@
     come from the store directly or through a hub. ``under_way`` is the number
     of requests in progress. ``seconds_to_true_time`` is how far true time is
     ahead of the host's steady clock. ``repeats_left`` is what is left of each
-    service's retry budget.
+    service's retry budget. ``refused_parts`` are the prompt parts that are
+    refused because they crash engines.
     """
 
     host: str
@@ -53,6 +56,7 @@
     prompt_tokens_per_second: float
     repeats_left: dict[str, float]
     endpoints: list[EndpointStatus]
+    refused_parts: list[str]
 
 
 # An urgency value that is less urgent than any request, so that all queued
@@ -67,6 +71,7 @@
     endpoints = []
     for instance in host.cluster_state.directory.all():
         stats = host.endpoint_stats.for_instance(instance)
+        limit = host.rate_limits.find(instance.run_key, now)
         endpoints.append(
             EndpointStatus(
                 instance.name,
@@ -80,6 +85,7 @@
                 stats.queued_tokens(_LEAST_URGENT, now),
                 stats.is_avoided(now),
                 len(stats.parts),
+                limit.rate if limit else None,
             )
         )
     return HostStatus(
@@ -97,4 +103,9 @@
             for name, budget in host.retry_budgets.items()
         },
         endpoints,
+        sorted(
+            part
+            for refusal in host.crashing_parts.list_refusals()
+            for part in refusal.parts
+        ),
     )
--- a/tests/atlas_deployment.py
+++ b/tests/atlas_deployment.py
@@ -199,6 +199,26 @@
             wait_for(lambda: self.probe(host_program) == 200)
         return host_program
 
+    def start_hosts(self, count):
+        """Start hosts and wait until all of them know each other."""
+        for number in range(count):
+            self.start_host('host-%d' % (number + 1))
+        wait_for(
+            lambda: all(
+                host_program._members.count() == count
+                for host_program in self.programs
+            ),
+            12.0,
+        )
+
+    def find_scheduling_hub(self):
+        """Return the host that places the model work of all hosts."""
+        return next(
+            host_program
+            for host_program in self.programs
+            if host_program._host.scheduler_client.is_scheduling_hub()
+        )
+
     def probe(self, host_program):
         """Return the status of a host's readiness probe."""
         return self._get(host_program.address('health'), '/v1/readyz').status
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -188,15 +188,7 @@
             start=False,
         )
         deployments.append(deployment)
-        for number in range(host_count):
-            deployment.start_host('host-%d' % (number + 1))
-        atlas_deployment.wait_for(
-            lambda: all(
-                program._members.count() == host_count
-                for program in deployment.programs
-            ),
-            12.0,
-        )
+        deployment.start_hosts(host_count)
         return deployment
 
     yield start
@@ -240,11 +232,7 @@
 
 def test_refused_part_stays_refused_after_the_loss_of_the_hub(start_hosts):
     deployment = start_hosts(4, 6)
-    hub = next(
-        program
-        for program in deployment.programs
-        if program._host.scheduler_client.is_scheduling_hub()
-    )
+    hub = deployment.find_scheduling_hub()
     hosts = [
         number
         for number, program in enumerate(deployment.programs)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -677,17 +677,23 @@
 
 
 def test_metrics_and_state_are_shown(deploy):
-    deployment = deploy(make_endpoint(), make_engine('w1', 'decode'))
+    deployment = deploy(
+        make_endpoint(), make_engine('w1', 'decode', rate_limit=1.5)
+    )
     assert deployment.call('/safe/').status == 200
+    assert deployment.ask_model().status == 200
     metrics_text = deployment.admin('/metrics').body.decode()
     assert 'cairnloom_requests{route="idempotent"} 1' in metrics_text
-    assert 'cairnloom_request_seconds_count 1' in metrics_text
+    assert 'cairnloom_request_seconds_count 2' in metrics_text
+    assert 'cairnloom_refused_parts 0' in metrics_text
     state_dump = orjson.loads(deployment.admin('/state').body)
     assert state_dump['configuration'] == 1
-    assert {endpoint['name'] for endpoint in state_dump['endpoints']} == {
-        'd1',
-        'w1',
+    rate_limits = {
+        endpoint['name']: endpoint['rate_limit']
+        for endpoint in state_dump['endpoints']
     }
+    assert rate_limits == {'d1': None, 'w1': 1.5}
+    assert state_dump['refused_parts'] == []
     assert atlas_deployment.KEY not in deployment.admin('/state').body.decode()
 
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -140,15 +140,7 @@
     def start(host_count, *endpoints):
         deployment = atlas_deployment.Deployment(list(endpoints), start=False)
         deployments.append(deployment)
-        for number in range(host_count):
-            deployment.start_host('host-%d' % (number + 1))
-        atlas_deployment.wait_for(
-            lambda: all(
-                program._members.count() == host_count
-                for program in deployment.programs
-            ),
-            12.0,
-        )
+        deployment.start_hosts(host_count)
         return deployment
 
     yield start
@@ -218,11 +210,7 @@
         for number in (2, 3, 4)
     ]
     deployment = start_hosts(4, limited, *others)
-    hub = next(
-        program
-        for program in deployment.programs
-        if program._host.scheduler_client.is_scheduling_hub()
-    )
+    hub = deployment.find_scheduling_hub()
     hosts = [
         number
         for number, program in enumerate(deployment.programs)
