--- a/Makefile
+++ b/Makefile
@@ -55,6 +55,7 @@
 	    timeout $(SECONDS) $(BIN)/pytest --hypothesis-seed=$(SEED) \
 	    tests/test_orders.py tests/test_claims.py \
 	    tests/test_configuration.py tests/test_usage.py \
+	    tests/test_crashing_parts.py tests/test_rate_limits.py \
 	    -k "not faulty" || test $$? -eq 124
 
 bench-policy: setup
--- a/src/cairnloom/routing/crashing_parts.py
+++ b/src/cairnloom/routing/crashing_parts.py
@@ -2,10 +2,10 @@
 
 Checked when model work is placed. No two requests with such a part need be
 alike, so the quarantine of single requests does not find them. Hosts share
-their reports of crashes and the times at which answers began. A part is
-refused once requests with it were the last thing that several engines began
-to process, one after the other, and no answer to a request with it has begun
-since.
+reports of the requests that engines had not begun to answer when they crashed,
+and the times at which answers were seen to go on. A part is refused once such
+requests with it were at several crashes, one after the other, and no answer to
+a request with it has gone on since.
 """
 
 import collections
@@ -64,7 +64,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Findings:
-    """Reports of crashes, and for parts the seconds since an answer began."""
+    """What a host knows of crashes.
+
+    ``answered`` holds, for parts in the reports, the number of seconds since
+    an answer to a request with the part went on.
+    """
 
     reports: list[CrashReport] = dataclasses.field(default_factory=list)
     answered: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -158,7 +162,7 @@
         return report
 
     def note_answered(self, parts: tuple[str, ...], now: float) -> None:
-        """Record that an answer to a request with these parts has begun."""
+        """Record that an answer to a request with these parts goes on."""
         for part in parts:
             self._set_answered(part, now)
 
--- a/src/cairnloom/routing/scheduler.py
+++ b/src/cairnloom/routing/scheduler.py
@@ -339,8 +339,8 @@
         """Choose among the engines that take another request now.
 
         A limit counts requests whatever their size. So it is kept for long
-        prompts, while other engines can serve short ones or nothing of the
-        limit would be lost.
+        prompts, unless no other engine can serve a short one in time, or a
+        part of the limit would be lost.
         """
         limits = self._rate_limits
 
