Give the state machine of crashes distinct times and enough rounds

Three traces, none of them a fault of the decisions: - times of 0.1 s are not exact, and turned into ages and back a request sent in the very moment of a crash came before it on one host and after it on another; - with exact times, two crashes in the same moment were put in another order by each host; - a host that knows of no crash sends no answers, so an answer that it had seen before takes a third round: the report to it, the answer to the hub, and on to the others. Now each step takes 1/64 s and hosts exchange three rounds; what is checked is unchanged, and both faulty detectors are still caught.

--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -293,6 +293,9 @@
 ).map(tuple)
 INDEX = st.integers(0, 20)
 ENGINE_COUNT = 4
+# Each step takes time, as no two events of a crash come at the same moment.
+# Ages of such times are exact, so that hosts agree on what came first.
+STEP_SECONDS = 1 / 64
 
 
 class CrashMachine(stateful.RuleBasedStateMachine):
@@ -321,6 +324,7 @@
         index=INDEX, engine=INDEX, parts=PARTS, reaches_hub=st.booleans()
     )
     def send(self, index, engine, parts, reaches_hub):
+        self.now += STEP_SECONDS
         host = self.pick_host(index)
         placing_host = self.hosts[0] if reaches_hub else host
         if not placing_host.parts.is_refused(parts, self.now):
@@ -332,6 +336,7 @@
     def begin_answer(self, index):
         if not self.in_flight:
             return
+        self.now += STEP_SECONDS
         request = self.in_flight[index % len(self.in_flight)]
         if DEADLY in request.parts:
             self.crash(request.engine)
@@ -342,6 +347,7 @@
 
     @stateful.rule(engine=INDEX)
     def crash(self, engine):
+        self.now += STEP_SECONDS
         number = engine % ENGINE_COUNT
         broken_requests = [
             request for request in self.in_flight if request.engine == number
@@ -374,7 +380,7 @@
         self.hosts.remove(self.pick_host(index))
         self.hosts.append(Host(self))
 
-    @stateful.rule(seconds=st.sampled_from([0.1, 0.4, 1.0, 3.0]))
+    @stateful.rule(seconds=st.sampled_from([0.125, 0.375, 1.0, 3.0]))
     def wait(self, seconds):
         self.now += seconds
         for host in self.hosts:
@@ -382,8 +388,12 @@
 
     @stateful.rule()
     def exchange(self):
-        """Let all hosts hear of each other, and check what they decide."""
-        for _ in range(2):
+        """Let all hosts hear of each other, and check what they decide.
+
+        In three rounds a report reaches all hosts, one of them sends the hub
+        an answer that it had seen before, and that reaches all hosts.
+        """
+        for _ in range(3):
             for host in self.hosts[1:]:
                 hub = self.hosts[0].parts
                 hub.merge(host.parts.list_findings(self.now), self.now)
