--- a/src/cairnloom/entry/attempts.py
+++ b/src/cairnloom/entry/attempts.py
@@ -10,6 +10,7 @@
 from .. import exceptions
 from ..routing import instances
 from ..routing import work
+from ..runtime import logs
 
 from . import events
 from . import outcomes
@@ -232,6 +233,15 @@
             return await self._read_failure(response, head)
         self._response, self._head = response, head
         self._on_accepted()
+        if request.last_event is not None:
+            logs.log_event(
+                'stream_resumed',
+                request=request.metadata.request_id,
+                begun_by=request.metadata.resumed,
+                after=request.last_event,
+                endpoint=self._instance.name,
+                software=self._instance.software,
+            )
         caller = request.caller
         if caller.head_sent:
             caller.unregister_producer()
--- a/src/cairnloom/entry/cluster_state.py
+++ b/src/cairnloom/entry/cluster_state.py
@@ -222,6 +222,7 @@
         role=changed_instance and changed_instance.role,
         domain=changed_instance and changed_instance.failure_domain,
         cheap=changed_instance and changed_instance.cheap,
+        software=changed_instance and changed_instance.software,
     )
 
 
--- a/src/cairnloom/entry/requests.py
+++ b/src/cairnloom/entry/requests.py
@@ -162,6 +162,7 @@
             'connection_lost',
             request=self.metadata.request_id,
             endpoint=instance.name,
+            software=instance.software,
             domain=instance.failure_domain,
             answering=has_begun_answer,
             events=event_count,
--- a/src/cairnloom/platform/directory.py
+++ b/src/cairnloom/platform/directory.py
@@ -28,6 +28,8 @@
     Address: str
     Zone: str
     State: str
+    # The version of its software, not of its weights.
+    Version: str = ''
     # All slots of the endpoint, busy or not.
     Slots: int = 1
     # How much longer it will be slow, because it started recently.
@@ -74,4 +76,5 @@
             None if entry.leaves_ms is None else entry.leaves_ms / 1000
         ),
         born=entry.born,
+        software=entry.Version,
     )
--- a/src/cairnloom/platform/names.py
+++ b/src/cairnloom/platform/names.py
@@ -15,6 +15,9 @@
 LENGTH_HINT = b'Length-Hint'
 # The number of the last event of a stream that the caller has received.
 LAST_EVENT = b'Last-Event-Id'
+# In a caller's request that goes on with a stream, the id of the request that
+# brought the stream's first event.
+RESUMED = b'Resumes'
 # Its presence shows that the answer comes from an endpoint itself.
 SIGNATURE = b'Server-Signature'
 # The platform's word for a team.
--- a/src/cairnloom/platform/requests.py
+++ b/src/cairnloom/platform/requests.py
@@ -34,6 +34,7 @@
         key=_read_key(headers),
         work=_read_work(headers),
         last_event=_parse_count(_first_value(headers, names.LAST_EVENT)),
+        resumed=_first_value(headers, names.RESUMED),
     )
 
 
--- a/src/cairnloom/routing/instances.py
+++ b/src/cairnloom/routing/instances.py
@@ -24,6 +24,8 @@
     ``cold_seconds`` until the instance has warmed up. ``born`` is its start
     time in milliseconds of Unix time, or 0 if unknown. ``leaves_in`` is the
     time in seconds until the platform removes the endpoint, if announced.
+    ``software`` is the version of the endpoint's software, empty if it names
+    none, or None if this host was not told.
     """
 
     name: str
@@ -39,6 +41,7 @@
     cold_seconds: float = 0.0
     leaves_in: float | None = None
     born: int = 0
+    software: str | None = None
 
     @property
     def netloc(self) -> str:
--- a/src/cairnloom/routing/work.py
+++ b/src/cairnloom/routing/work.py
@@ -35,7 +35,8 @@
 
     ``patience`` is how long the caller waits, in seconds, or None if unknown.
     ``key`` identifies the team. If the caller resumes a stream,
-    ``last_event`` is the number of the last event that it received.
+    ``last_event`` is the number of the last event that it received, and
+    ``resumed`` is the id of the request that brought the first event.
     """
 
     request_id: str
@@ -43,6 +44,7 @@
     key: str = ''
     work: ModelWork | None = None
     last_event: int | None = None
+    resumed: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
