Add failing tests for streams that go on at another software version

The stand-ins serve several versions side by side and record what each stream got; callers take streams up at other hosts.

--- a/src/cairnloom/standins/atlas.py
+++ b/src/cairnloom/standins/atlas.py
@@ -176,7 +176,9 @@
     """A request that an endpoint received.
 
     ``gone`` is true if the client has closed the connection meanwhile, and
-    ``at`` is the time of arrival in seconds.
+    ``at`` is the time of arrival in seconds. ``events`` is the number of
+    events that were sent in answer, and ``software`` the version of the
+    endpoint's software at that time.
     """
 
     method: str
@@ -185,6 +187,8 @@
     body: bytes
     gone: bool = False
     at: float = 0.0
+    events: int = 0
+    software: str = ''
 
     def header(self, name: bytes) -> str:
         """Return the value of a header; empty if it is absent."""
@@ -219,6 +223,8 @@
     parts in ``deadly_parts`` crashes the endpoint when its answer begins;
     ``crashes`` counts these crashes. ``rate_limit`` is the number of requests
     per second that the endpoint names as its limit, if it has one.
+    ``software`` is the version of its software, and ``born`` the time of its
+    start in Unix milliseconds, left out if 0.
     """
 
     name: str
@@ -240,6 +246,8 @@
     list_calls: int = 0
     port: int = 0
     prefill_seconds: float = 0.0
+    software: str = 'v1'
+    born: int = 0
 
     def row(self, state: str = 'ready') -> bytes:
         """Return the value of the row in which the endpoint registers."""
@@ -247,12 +255,14 @@
             'Service': self.service,
             'Address': '127.0.0.1:%d' % self.port,
             'Zone': self.domain,
-            'Version': 'v1',
+            'Version': self.software,
             'Slots': 8,
             'State': state,
             'ColdRemainingMs': 0,
             'Sequence': 1,
         }
+        if self.born:
+            fields['born'] = self.born
         if self.role:
             fields['Stage'] = self.role
             fields['Models'] = [{'Name': 'm', 'Version': 1, 'Adapters': []}]
@@ -451,13 +461,16 @@
             self._run(request)
 
     def _report(self) -> dict[str, Any]:
-        return {
+        fields = {
             'Stage': self._endpoint.role,
             'Busy': False,
             'Sequence': len(self._endpoint.orders),
             'Waiting': 0,
             'Running': 0,
         }
+        if self._endpoint.born:
+            fields['born'] = self._endpoint.born
+        return fields
 
     def _run(self, request: _Request) -> None:
         received = ReceivedRequest(
@@ -469,6 +482,7 @@
             },
             request.read_body(),
             at=self.reactor.seconds(),
+            software=self._endpoint.software,
         )
         self._endpoint.received.append(received)
         request.notifyFinish().addErrback(
@@ -594,9 +608,15 @@
             request.setHeader(name, value)
         request.setHeader(b'content-type', b'text/event-stream')
         last_event = received.header(names.LAST_EVENT)
-        self._send_event(request, int(last_event or 0) + 1, fault)
+        self._send_event(request, received, int(last_event or 0) + 1, fault)
 
-    def _send_event(self, request: _Request, number: int, fault: str) -> None:
+    def _send_event(
+        self,
+        request: _Request,
+        received: ReceivedRequest,
+        number: int,
+        fault: str,
+    ) -> None:
         if request._disconnected:
             return
         if number > EVENT_COUNT:
@@ -613,10 +633,16 @@
             self.reactor.callLater(EVENT_SECONDS, request.reset)
             return
         request.write(event)
+        received.events += 1
         if fault == 'again' and number == 2:
             request.write(event)
         self.reactor.callLater(
-            EVENT_SECONDS, self._send_event, request, number + 1, fault
+            EVENT_SECONDS,
+            self._send_event,
+            request,
+            received,
+            number + 1,
+            fault,
         )
 
     def _take_cache(self, source: str) -> bool:
--- a/tests/atlas_deployment.py
+++ b/tests/atlas_deployment.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import http.client
+import re
 import socket
 import threading
 import time
@@ -16,6 +17,7 @@
 
 from cairnloom.entry import program
 from cairnloom.entry import settings
+from cairnloom.platform import names
 from cairnloom.platform import program as platform_program
 from cairnloom.runtime import clock
 from cairnloom.standins import atlas
@@ -162,6 +164,16 @@
         self._ports.append(port)
         return port.getHost().port
 
+    def remove_endpoint(self, name):
+        """Remove the row of an endpoint, which goes on."""
+        run_in_reactor(self.store.put, 'servers', name, None)
+
+    def forget_failures(self, name):
+        """Have all hosts take an endpoint for sound again."""
+        for host_program in self.programs:
+            stats = host_program._host.endpoint_stats
+            run_in_reactor(lambda: stats.for_name(name).note_success())
+
     def set_mode(self, mode):
         """Set how the store answers from now on."""
         run_in_reactor(self.store.set_mode, mode)
@@ -272,6 +284,54 @@
             **extra_headers,
         )
 
+    def begin_stream(self, path='/resume/x', parts='aa:100,bb:50', host=0):
+        """Begin a stream and leave after its first event.
+
+        Returns the id of the request, and the number of the last event.
+        """
+        tokens = sum(int(part.split(':')[1]) for part in parts.split(','))
+        headers = self.headers(
+            Accept='text/event-stream',
+            Model='m',
+            Token_Count='%d,20' % tokens,
+            Prompt_Prefix=parts,
+        )
+        lines = ['%s: %s' % item for item in headers.items()]
+        lines += ['POST %s HTTP/1.1' % path, 'Content-Length: 6', '', 'prompt']
+        lines.insert(0, lines.pop(-4))
+        address = self.programs[host].address('callers')
+        received = b''
+        with socket.create_connection(address, timeout=3) as connection:
+            connection.sendall('\r\n'.join(lines).encode())
+            while b'event-' not in received:
+                part = connection.recv(65536)
+                assert part, 'no event but %r' % received
+                received += part
+        numbers = re.findall(rb'id: (\d+)\n', received)
+        return headers['Attempt-Id'], int(numbers[-1])
+
+    def resume_stream(self, stream, path='/resume/x', **options):
+        """Take up a stream, as its caller would at any host.
+
+        ``stream`` is what :meth:`begin_stream` returned.
+        """
+        request_id, last_event = stream
+        return self.ask_model(
+            path, Resumes=request_id, Last_Event_Id=str(last_event), **options
+        )
+
+    def list_versions(self):
+        """Return the software versions whose events each stream holds."""
+        versions = {}
+        for endpoint in self.endpoints.values():
+            for received in endpoint.received:
+                stream = received.header(names.RESUMED) or received.header(
+                    names.REQUEST_ID
+                )
+                if received.events:
+                    versions.setdefault(stream, set()).add(received.software)
+        return versions
+
     def raw(self, data, host=0, seconds=3.0, close=False):
         """Send bytes to a host and return all bytes that come back."""
         address = self.programs[host].address('callers')
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,184 @@
+"""A stream goes on only at the software version that began it.
+
+Endpoints of several versions serve side by side, and callers take streams up
+at other hosts.
+"""
+
+import atlas_deployment
+import pytest
+
+from cairnloom.standins import atlas
+
+# So many streams that some of them begin at each version.
+STREAM_COUNT = 6
+
+
+@pytest.fixture
+def deploy():
+    deployments = []
+
+    def start_deployment(*endpoints, hosts=1, **options):
+        deployment = atlas_deployment.Deployment(
+            endpoints, start=False, **options
+        )
+        deployments.append(deployment)
+        deployment.start_hosts(hosts)
+        return deployment
+
+    yield start_deployment
+    for deployment in deployments:
+        deployment.close()
+
+
+def make_engine(name, software, role='decode', faults=(), **options):
+    endpoint = atlas.Endpoint(
+        name, 'model', role=role, software=software, **options
+    )
+    endpoint.planned_faults.extend(faults)
+    return endpoint
+
+
+def make_engines_of_two_versions(faults=()):
+    return [
+        make_engine('e%d' % number, 'v%d' % (1 + number % 2), faults=faults)
+        for number in range(4)
+    ]
+
+
+def refuse_at_first_engine(deployment, stream):
+    """Have the engine that began a stream refuse the next request."""
+    for endpoint in deployment.endpoints.values():
+        deployment.forget_failures(endpoint.name)
+        endpoint.planned_faults.clear()
+        for received in endpoint.received:
+            if received.header(b'Attempt-Id') == stream[0] and received.events:
+                endpoint.planned_faults.append('shed')
+
+
+def assert_versions_are_kept(deployment):
+    versions = deployment.list_versions().values()
+    assert all(len(versions_of_one) == 1 for versions_of_one in versions)
+    assert set.union(*versions) == {'v1', 'v2'}
+
+
+def list_prompts():
+    return ['p%d:100,own%d:50' % (number, number) for number in range(8)]
+
+
+def make_stream_route(prefix, service, **fields):
+    return atlas_deployment.make_route(
+        prefix, 'streaming', service, Resumable=True, **fields
+    )
+
+
+def test_interrupted_stream_goes_on_at_its_version(deploy):
+    broken = [
+        make_engine('b%d' % number, 'v%d' % number, faults=['tear'] * 20)
+        for number in (1, 2)
+    ]
+    sound = [make_engine('s%d' % number, 'v%d' % number) for number in (1, 2)]
+    deployment = deploy(*broken, *sound)
+    for parts in list_prompts():
+        answer = deployment.ask_model('/resume/x', parts)
+        assert (answer.status, answer.whole) == (200, True)
+        for endpoint in broken:
+            # A stream may begin at an engine that failed before.
+            deployment.forget_failures(endpoint.name)
+    assert_versions_are_kept(deployment)
+
+
+def test_stream_that_is_taken_up_at_another_host_goes_on_at_its_version(
+    deploy,
+):
+    deployment = deploy(*make_engines_of_two_versions(), hosts=3)
+    for number, parts in enumerate(list_prompts()):
+        stream = deployment.begin_stream(parts=parts, host=number % 3)
+        refuse_at_first_engine(deployment, stream)
+        answer = deployment.resume_stream(
+            stream, parts=parts, host=(number + 1) % 3
+        )
+        assert (answer.status, answer.whole) == (200, True)
+    assert_versions_are_kept(deployment)
+
+
+def test_stream_of_a_killed_host_goes_on_at_its_version(deploy):
+    deployment = deploy(*make_engines_of_two_versions(), hosts=4)
+    others = [
+        number
+        for number, program in enumerate(deployment.programs)
+        if not program._host.scheduler_client.is_scheduling_hub()
+    ]
+    streams = [
+        (deployment.begin_stream(parts=parts, host=others[0]), parts)
+        for parts in list_prompts()
+    ]
+    killed = deployment.programs[others[0]]
+    atlas_deployment.run_in_reactor(killed.kill)
+    for stream, parts in streams:
+        refuse_at_first_engine(deployment, stream)
+        answer = deployment.resume_stream(stream, parts=parts, host=others[1])
+        assert (answer.status, answer.whole) == (200, True)
+    assert_versions_are_kept(deployment)
+
+
+def test_stream_whose_version_is_gone_is_refused(deploy):
+    engines = make_engines_of_two_versions()
+    deployment = deploy(*engines, hosts=2)
+    stream = deployment.begin_stream()
+    (version,) = deployment.list_versions()[stream[0]]
+    for engine in engines:
+        if engine.software == version:
+            deployment.remove_endpoint(engine.name)
+    atlas_deployment.wait_for(
+        lambda: all(
+            len(program._host.cluster_state.directory.ready('model')) == 2
+            for program in deployment.programs
+        )
+    )
+    answer = deployment.resume_stream(stream, host=1)
+    assert answer.status == 503
+    assert float(answer.headers['retry-after']) > 0
+    assert deployment.list_versions()[stream[0]] == {version}
+
+
+def test_stream_of_a_plain_service_goes_on_at_its_version(deploy):
+    endpoints = [
+        atlas.Endpoint(
+            'd%d' % number, 'desk', software='v%d' % (1 + number % 2)
+        )
+        for number in range(4)
+    ]
+    for endpoint in endpoints:
+        endpoint.planned_faults.extend(['tear', '', 'tear', '', 'tear'])
+    routes = [make_stream_route('/feed/', 'desk', MaxAttempts=3)]
+    deployment = deploy(*endpoints, hosts=2, Routes=routes)
+    for _ in range(STREAM_COUNT):
+        answer = deployment.call('/feed/x', Accept='text/event-stream')
+        assert answer.status == 200
+    assert_versions_are_kept(deployment)
+
+
+def test_cache_of_one_version_is_not_decoded_at_another(deploy):
+    engines = [
+        make_engine('p1', 'v1', 'prefill'),
+        make_engine('p2', 'v2', 'prefill'),
+        make_engine('d1', 'v1'),
+        make_engine('d2', 'v2'),
+    ]
+    deployment = deploy(*engines)
+    for number in range(STREAM_COUNT):
+        parts = 'q%d:60000,own%d:50' % (number, number)
+        answer = deployment.ask_model('/resume/x', parts)
+        assert (answer.status, answer.whole) == (200, True)
+    decodes = [
+        (received.header(b'Kv-Source').split('/')[0], engine.software)
+        for engine in engines
+        for received in engine.received
+        if received.header(b'Kv-Source')
+    ]
+    software_by_address = {
+        '127.0.0.1:%d' % engine.port: engine.software for engine in engines
+    }
+    assert decodes
+    for address, software in decodes:
+        assert software_by_address[address] == software
