Let streams go on only at the software version that began them

Cause: nothing knew the version of an endpoint, and a caller's next try reaches a host that knows nothing of the stream. The class of fault: state that an answer depends on was kept by the host that held the connection, and the rest of the system chose as if all endpoints were alike.

- Within one answer, attempts go only to endpoints of the version that sent the first event; the scheduling hub places them so, and the host checks what an older hub placed.
- A caller's next try at another host: as long as a service may have had endpoints of several versions, streams are reported to two hubs when they are sent, and those in progress when a second version appears.
Otherwise nothing needs to be reported, as there is one version only.
- What neither says is asked of the hubs, and refused with 503 if they do not know.
- A KV cache is decoded, and fetched by neighbours, at one version only.
- Before a stream goes on at an engine, its report is read: an engine may have restarted under its name at another version.
- Rows that come through a host of an older build have no version; such a hub does not replace the store.
- A route that is split among services sends a stream to the one that began it.

--- a/src/cairnloom/entry/attempts.py
+++ b/src/cairnloom/entry/attempts.py
@@ -41,12 +41,17 @@
     ``on_first_event`` when the first event arrives.
     """
     host = request.host
+    if not request.may_run_on(instance):
+        return outcomes.NotRun('other software version', False)
     if not request.take_retry():
         return outcomes.Rejected('retry budget')
     stats = host.endpoint_stats.for_instance(instance)
     request.endpoints_reached += 1
+    request.attempt_count += 1
     sent_at = host.now()
     is_stream = request.route.kind == 'stream'
+    if is_stream and request.route.resumable:
+        host.stream_origins.note_sent(request, instance)
     outcome: outcomes.Outcome | None = None
     event_count = 0
     try:
@@ -296,6 +301,11 @@
         if self.event_count == 2:
             request.note_answering()
         if self.event_count == 1:
+            request.note_begun(self._instance)
+            if request.route.resumable and request.attempt_count > 1:
+                # The report of this attempt may have been lost, and that of an
+                # earlier one not.
+                request.host.stream_origins.note_sent(request, self._instance)
             self._on_first_event()
             request.count_usage(request.host.now())
             assert self._head is not None and self._response is not None
--- a/src/cairnloom/entry/forwarding.py
+++ b/src/cairnloom/entry/forwarding.py
@@ -30,7 +30,7 @@
     """Forward one request."""
 
     def __init__(self, request: requests.Request) -> None:
-        self._request = request
+        self.request = request
         self._host = request.host
         self._caller = request.caller
 
@@ -39,7 +39,7 @@
 
         The returned deferred fires when the caller has its answer.
         """
-        request, host = self._request, self._host
+        request, host = self.request, self._host
         host.metrics.count('requests', route=request.route.kind)
         host.budget(request.service.name).note_request(request.started_at)
         task = defer.Deferred.fromCoroutine(self._run())
@@ -53,13 +53,20 @@
         return task
 
     async def _run(self) -> None:
-        request = self._request
+        request = self.request
         crash_quarantine = self._host.quarantine
         if not crash_quarantine.is_empty() and crash_quarantine.is_refused(
             request.fingerprint(), self._host.now()
         ):
             self._refuse('crashed endpoints')
             return
+        if request.begun:
+            request.begun_version = await self._host.stream_origins.find(
+                request
+            )
+            if request.begun_version is None:
+                self._refuse('stream of unknown version')
+                return
         if request.service.engine is not None and request.metadata.work:
             outcome = await generation.Generation(request).run()
         else:
@@ -76,7 +83,7 @@
                     self._refuse(reason)
 
     async def _run_plain(self) -> outcomes.Outcome:
-        request = self._request
+        request = self.request
         tried_names: set[str] = set()
         shortest_wait: float | None = None
         while True:
@@ -122,7 +129,7 @@
     def _refuse(self, reason: str, seconds_late: float = 0.0) -> None:
         if self._caller.head_sent:
             self._caller.abort()
-        elif self._request.may_have_run:
+        elif self.request.may_have_run:
             self._caller.answer(502, [])
         else:
             retry_seconds = seconds_late + random.uniform(*RETRY_DELAY_SECONDS)
@@ -139,7 +146,7 @@
         if not reason.check(defer.CancelledError):
             logs.log_event(
                 'request_fault',
-                request=self._request.metadata.request_id,
+                request=self.request.metadata.request_id,
                 kind=reason.type.__name__ if reason.type else '',
                 where=reason.getTraceback()[-600:],
             )
@@ -150,7 +157,7 @@
         self._log_end('deadline')
 
     def _log_end(self, outcome: str, reason: str = '') -> None:
-        request = self._request
+        request = self.request
         seconds = self._host.now() - request.started_at
         self._host.metrics.count('ended', outcome=outcome)
         self._host.metrics.time('request', seconds)
--- a/src/cairnloom/entry/generation.py
+++ b/src/cairnloom/entry/generation.py
@@ -102,7 +102,8 @@
             tried=sorted(self._tried),
             avoided=sorted(self._host.endpoint_stats.list_avoided(now)),
             cache_at=cache_holder,
-            resumes=request.last_event is not None,
+            resumes=request.begun,
+            software=request.begun_version,
         )
 
     async def _run_placement(
@@ -118,6 +119,14 @@
         answering_engine = self._find_ready_engine(placement.answering)
         if answering_engine is None:
             return self._skip_engine(placement.answering)
+        if not self._request.may_run_on(answering_engine):
+            # A scheduling hub of an older build ignores versions.
+            self._skip_other_versions()
+            return outcomes.NotRun('other software version', False)
+        if self._request.begun and not await self._is_same_run(
+            answering_engine
+        ):
+            return self._skip_engine(answering_engine.name)
         phase: work.Phase = work.FullRun(
             self._find_netloc(placement.neighbour)
         )
@@ -151,6 +160,29 @@
         self._tried.add(name)
         return outcomes.NotRun('endpoint has left', False)
 
+    def _skip_other_versions(self) -> None:
+        engines = self._host.cluster_state.directory.ready(
+            self._request.service.name
+        )
+        self._tried.update(
+            engine.name
+            for engine in engines
+            if not self._request.may_run_on(engine)
+        )
+
+    async def _is_same_run(self, engine: instances.Instance) -> bool:
+        """Return whether an engine is still the run that its row describes.
+
+        An engine may have restarted under its name at another version, which
+        its row does not show yet.
+        """
+        try:
+            report = await self._host.engines.report(engine)
+        except exceptions.EndpointError as fault:
+            self._request.log_failed_attempt(engine, 'report', str(fault))
+            return False
+        return not engine.born or report.born in (0, engine.born)
+
     def _find_ready_engine(self, name: str) -> instances.Instance | None:
         engine = self._host.cluster_state.directory.find(name)
         if engine is None or engine.state != 'ready':
--- a/src/cairnloom/entry/hubs.py
+++ b/src/cairnloom/entry/hubs.py
@@ -28,6 +28,7 @@
 from . import peers
 from . import relay
 from . import state
+from . import stream_origins
 
 # The interval between two synchronization rounds. Hubs ask the other hubs in
 # every round. Other hosts ask a hub only in every second round
@@ -144,6 +145,7 @@
                 if request.limits != limits.revision
                 else None
             ),
+            names_software=True,
         )
 
     async def _ask_unknown_hosts(self) -> None:
@@ -220,6 +222,9 @@
             self._members.avoid(hub.host, host.now())
             return False
         self._members.note_answer(hub.host)
+        if not reply.names_software:
+            # A hub of an older build can't replace the store.
+            reply = dataclasses.replace(reply, fresh=False)
         self._apply_reply(hub, reply, sent_at)
         if not reply.fresh:
             self._members.avoid(hub.host, host.now())
@@ -303,6 +308,7 @@
     host: state.HostContext,
     own_scheduler: scheduler.Scheduler,
     table: relay.BatchingTable,
+    origins: stream_origins.StreamOrigins,
 ) -> dict[str, server.Handler]:
     """Return the handlers of the internal listener, by path."""
 
@@ -333,10 +339,16 @@
             crashing_parts.Findings(message.crashes), host.now()
         )
         host.rate_limits.merge(message.limits, host.now())
+        for report in message.streams:
+            origins.receive(report)
         for event in message.notes:
             own_scheduler.handle_event(event, host.now())
         return server.JsonResponse(codec.encode(messages.PlacementEvents([])))
 
+    async def find_stream(call: server.JsonRequest) -> server.JsonResponse:
+        query = codec.decode(messages.StreamQuery, call.body)
+        return server.JsonResponse(codec.encode(origins.answer(query)))
+
     async def permit(call: server.JsonRequest) -> server.JsonResponse:
         limit = codec.decode(messages.PermitCall, call.body).limit
         now = host.now()
@@ -389,6 +401,7 @@
         messages.PLACE: place,
         messages.EVENTS: receive_events,
         messages.PERMIT: permit,
+        messages.STREAM: find_stream,
         messages.USAGE: receive_usage,
         messages.ROWS: read,
         messages.TRANSACTIONS: commit,
--- a/src/cairnloom/entry/messages.py
+++ b/src/cairnloom/entry/messages.py
@@ -13,6 +13,7 @@
 from ..routing import quarantine
 from ..routing import rate_limits
 from ..routing import scheduler
+from ..routing import stream_versions
 
 from . import cluster_state
 from . import members
@@ -22,6 +23,7 @@
 PLACE = '/place'
 EVENTS = '/notes'
 PERMIT = '/permit'
+STREAM = '/stream'
 ROWS = '/rows'
 TRANSACTIONS = '/transactions'
 USAGE = '/books'
@@ -64,7 +66,9 @@
     ``store_seconds`` is the store's time at the reply, and ``clock_ahead`` is
     how far true time is ahead of it. ``limit_reports`` holds the rate limits
     of endpoints, None if they have not changed since the revision in the
-    request; ``limits`` is their revision.
+    request; ``limits`` is their revision. ``names_software`` is set if the
+    endpoints come with their software versions, which hosts of older builds
+    leave out.
     """
 
     owner: str
@@ -81,6 +85,7 @@
     findings: crashing_parts.Findings = crashing_parts.Findings()
     limits: int = -1
     limit_reports: list[rate_limits.LimitReport] | None = None
+    names_software: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -107,7 +112,8 @@
     """Events of placed requests, in the order in which they happened.
 
     ``crashes`` are new reports of requests that may have crashed an engine,
-    and ``limits`` new limits that endpoints have named.
+    ``limits`` new limits that endpoints have named, and ``streams`` the
+    versions to which streams were sent.
     """
 
     notes: list[scheduler.PlacementEvent]
@@ -117,6 +123,33 @@
     limits: list[rate_limits.LimitReport] = dataclasses.field(
         default_factory=list
     )
+    streams: list[stream_versions.StreamReport] = dataclasses.field(
+        default_factory=list
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class StreamQuery:
+    """Ask a hub for the software version that began a stream."""
+
+    stream: str
+    service: str
+
+
+@dataclasses.dataclass(frozen=True)
+class StreamReply:
+    """What a host knows of a stream and of its service.
+
+    ``version`` is the version to which the stream was sent, if that was
+    reported. ``only_version`` is set if the service had endpoints of just this
+    version for as long as a stream may last. ``seen`` are the versions that
+    the host has seen in that time, None among them if it does not know the
+    version of an endpoint.
+    """
+
+    version: str | None
+    only_version: str | None
+    seen: list[str | None]
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -47,6 +47,7 @@
 from . import settings
 from . import state
 from . import status
+from . import stream_origins
 from . import upstream
 
 # The lease lasts this much longer than ``Bounds.lease``, the time within which
@@ -151,6 +152,17 @@
             limits,
         )
         self._scheduler.on_parts_cached = load_exchange.note_parts
+        own_scheduler_client = scheduler_client.SchedulerClient(
+            reactor, self._members, self._scheduler, self._peers, limits
+        )
+        self._stream_origins = stream_origins.StreamOrigins(
+            reactor,
+            cluster,
+            self._members,
+            self._peers,
+            own_scheduler_client.report_stream,
+        )
+        self._stream_origins.on_mixed = self._report_streams
         clock = clocks.SharedClock(reactor, lambda: platform.store.clock_ahead)
         self._host = state.HostContext(
             settings=host_settings,
@@ -169,13 +181,8 @@
             metrics=metrics.Metrics(),
             members=self._members,
             clock=clock,
-            scheduler_client=scheduler_client.SchedulerClient(
-                reactor,
-                self._members,
-                self._scheduler,
-                self._peers,
-                limits,
-            ),
+            scheduler_client=own_scheduler_client,
+            stream_origins=self._stream_origins,
         )
         self._runner = runner.Runner(platform.store, reactor)
         self._batching_table = relay.BatchingTable(reactor, platform.store)
@@ -276,6 +283,7 @@
                 self._host,
                 self._scheduler,
                 self._batching_table,
+                self._stream_origins,
             ),
         )
         self._ports['admin'] = server.listen(
@@ -401,6 +409,13 @@
         self._host.store_recovered_at = self._host.now()
         self._note_outage()
 
+    def _report_streams(self, service: str) -> None:
+        """Report the streams in progress, which were not reported so far."""
+        logs.log_event('versions_mixed', service=service)
+        for request in self._router.list_requests():
+            if request.service.name == service and request.begun_at:
+                self._stream_origins.note_sent(request, request.begun_at)
+
     def _is_ready(self) -> bool:
         return self._host.cluster_state.is_ready() and not self._host.leaving
 
@@ -416,6 +431,7 @@
         self._host.crashing_parts.remove_expired(now)
         self._host.rate_limits.remove_expired(now)
         self._host.upstream.close_expired()
+        self._stream_origins.watch()
         self._scheduler.expire(now)
 
     async def _register(self) -> None:
--- a/src/cairnloom/entry/request_router.py
+++ b/src/cairnloom/entry/request_router.py
@@ -3,7 +3,7 @@
 Second stage of a request: finds its route, team and service, or refuses it.
 """
 
-import random
+import hashlib
 
 from ..protocol import callers
 from ..routing import routes
@@ -26,6 +26,12 @@
         self._host = host
         self.in_flight: set[forwarding.Forwarding] = set()
 
+    def list_requests(self) -> list[requests.Request]:
+        """Return the requests in progress."""
+        return [
+            request_forwarding.request for request_forwarding in self.in_flight
+        ]
+
     def serve(self, caller: callers.IncomingRequest) -> None:
         """Serve one request. The caller always gets an answer."""
         host = self._host
@@ -42,7 +48,7 @@
         if team is None and not route.open and table.requires_keys:
             self._refuse(caller, metadata, 401, table.version)
             return
-        service = table.services.get(_choose_service(route))
+        service = table.services.get(_choose_service(route, metadata))
         if service is None:
             logs.log_event('no_service', request=metadata.request_id)
             self._refuse_unready(caller, metadata)
@@ -94,8 +100,21 @@
         caller.answer(status, [])
 
 
-def _choose_service(route: routes.Route) -> str:
+def _choose_service(
+    route: routes.Route, metadata: work.RequestMetadata
+) -> str:
+    """Choose one of the services among which a route is split.
+
+    A request that takes a stream up goes to the service that began it.
+    """
     if len(route.shares) == 1:
         return route.shares[0].service
-    weights = [share.weight for share in route.shares]
-    return random.choices(route.shares, weights)[0].service
+    stream = metadata.resumed or metadata.request_id
+    digest = hashlib.blake2b(stream.encode(), digest_size=8).digest()
+    total_weight = sum(share.weight for share in route.shares)
+    position = int.from_bytes(digest, 'big') / 2**64 * total_weight
+    for share in route.shares:
+        position -= share.weight
+        if position < 0:
+            return share.service
+    return route.shares[-1].service
--- a/src/cairnloom/entry/requests.py
+++ b/src/cairnloom/entry/requests.py
@@ -18,7 +18,11 @@
 
     ``endpoints_reached`` counts the attempts that reached an endpoint. A
     prefill on an engine of its own counts only if the engine refused it.
-    ``possible_runs`` counts the attempts that may have run the request.
+    ``possible_runs`` counts the attempts that may have run the request, and
+    ``attempt_count`` all attempts. Once the caller holds events of a stream,
+    ``begun`` is set, and the stream may go on only at ``begun_version``;
+    it can't go on if that is None. ``begun_at`` is the endpoint that began
+    the stream, if this host sent it there.
     """
 
     def __init__(
@@ -46,7 +50,13 @@
         self.deadline = self.started_at + time_allowed
         self.endpoints_reached = 0
         self.possible_runs = 0
+        self.attempt_count = 0
         self.last_event = metadata.last_event
+        self.begun = route.kind == 'stream' and bool(
+            metadata.resumed or metadata.last_event
+        )
+        self.begun_version: str | None = None
+        self.begun_at: instances.Instance | None = None
         self.first_event_seconds: float | None = None
         self.longest_pause = 0.0
         self._last_event_at = 0.0
@@ -72,6 +82,25 @@
             return False
         return self.possible_runs < self.route.attempts
 
+    def may_run_on(self, instance: instances.Instance) -> bool:
+        """Return whether an endpoint has the version that began the stream.
+
+        Any version may begin a stream.
+        """
+        if not self.begun:
+            return True
+        return (
+            self.begun_version is not None
+            and instance.software == self.begun_version
+        )
+
+    def note_begun(self, instance: instances.Instance) -> None:
+        """Record which endpoint sent the first event that the caller gets."""
+        self.begun_at = instance
+        if not self.begun:
+            self.begun = True
+            self.begun_version = instance.software
+
     def take_retry(self) -> bool:
         """Take a retry from the shared budget, if one is needed.
 
@@ -94,7 +123,9 @@
         return [
             instance
             for instance in ready_instances
-            if instance.role in (role, '') and instance.name not in tried
+            if instance.role in (role, '')
+            and instance.name not in tried
+            and self.may_run_on(instance)
         ]
 
     def note_event(self) -> None:
--- a/src/cairnloom/entry/scheduler_client.py
+++ b/src/cairnloom/entry/scheduler_client.py
@@ -13,6 +13,7 @@
 from ..routing import instances
 from ..routing import rate_limits
 from ..routing import scheduler
+from ..routing import stream_versions
 from ..runtime import logs
 
 from . import cluster_state
@@ -29,6 +30,8 @@
 EVENT_DELAY_SECONDS = 0.03
 END_EVENT_DELAY_SECONDS = 0.2
 EVENT_TIMEOUT_SECONDS = 1.0
+# How many hubs get each report of a stream, so that one of them may be lost.
+STREAM_REPORT_HUBS = 2
 # How many hubs are asked whether a request may be sent.
 MAX_PERMIT_CALLS = 2
 
@@ -120,6 +123,19 @@
             self._collect(hub).crashes.append(report)
             self._schedule_flush(hub, EVENT_DELAY_SECONDS)
 
+    def report_stream(self, report: stream_versions.StreamReport) -> None:
+        """Report the version to which a stream was sent to several hubs."""
+        now = self._reactor.seconds()
+        hubs = [
+            hub
+            for hub in self._members.hubs()
+            if hub.host != self._members.own_row.host
+            and not self._members.is_avoided(hub, now)
+        ]
+        for hub in hubs[:STREAM_REPORT_HUBS]:
+            self._collect(hub).streams.append(report)
+            self._schedule_flush(hub, EVENT_DELAY_SECONDS)
+
     def report_limit(self, report: rate_limits.LimitReport) -> None:
         """Report the limit that an endpoint has named to the hub."""
         hub = self._choose_hub()
--- a/src/cairnloom/entry/state.py
+++ b/src/cairnloom/entry/state.py
@@ -16,6 +16,7 @@
 from ..routing import rate_limits
 from ..routing import scheduler
 from ..routing import selection
+from ..routing import stream_versions
 from ..routing import work
 from ..runtime import metrics
 
@@ -68,6 +69,9 @@
     def report_crash(self, report: crashing_parts.CrashReport) -> None:
         """Report a request that may have crashed an engine."""
 
+    def report_stream(self, report: stream_versions.StreamReport) -> None:
+        """Report the version to which a stream was sent."""
+
     def report_limit(self, report: rate_limits.LimitReport) -> None:
         """Report the limit that an endpoint has named."""
 
@@ -84,8 +88,21 @@
         """Return whether this host places the model work of all hosts."""
 
 
-class CacheFreer(Protocol):
-    """Access to engines, to free caches that are no longer needed."""
+class StreamOriginFinder(Protocol):
+    """Access to what the hosts know of the versions that began streams."""
+
+    def note_sent(self, request: Any, instance: instances.Instance) -> None:
+        """Record that a stream is sent to an endpoint."""
+
+    async def find(self, request: Any) -> str | None:
+        """Return the version that began the stream that is taken up."""
+
+
+class EngineClient(Protocol):
+    """Access to engines, apart from callers' requests."""
+
+    async def report(self, instance: instances.Instance) -> Any:
+        """Read an engine's report."""
 
     async def free_cache(
         self, instance: instances.Instance, handle: str
@@ -105,7 +122,7 @@
     settings: settings.HostSettings
     reactor: Any
     header_codec: HeaderCodec
-    engines: CacheFreer
+    engines: EngineClient
     cluster_state: cluster_state.ClusterState
     upstream: upstream.Upstream
     endpoint_stats: endpoint_stats.StatsRegistry
@@ -119,6 +136,7 @@
     members: members.Members
     clock: clocks.SharedClock
     scheduler_client: PlacementScheduler
+    stream_origins: StreamOriginFinder
     host_count: int = 1
     store_recovered_at: float = float('-inf')
     leaving: bool = False
--- a/src/cairnloom/platform/engines.py
+++ b/src/cairnloom/platform/engines.py
@@ -30,7 +30,8 @@
 
     ``changing`` is true while it changes its role, and ``sequence`` counts
     the orders that it has accepted since its start. ``used_tokens`` and
-    ``total_tokens`` are the used and the total size of its KV cache.
+    ``total_tokens`` are the used and the total size of its KV cache. ``born``
+    is its start time in milliseconds of Unix time, or 0 if unknown.
     """
 
     role: str
@@ -40,6 +41,7 @@
     running: int
     used_tokens: int
     total_tokens: int
+    born: int = 0
 
 
 class EngineControlClient:
@@ -152,6 +154,7 @@
         running=int(decoded.get('Running', 0)),
         used_tokens=int(decoded.get('KvUsed', 0)),
         total_tokens=int(decoded.get('KvTotal', 0)),
+        born=int(decoded.get('born', 0)),
     )
 
 
--- a/src/cairnloom/routing/instances.py
+++ b/src/cairnloom/routing/instances.py
@@ -99,6 +99,8 @@
         self.loaded = False
         self._ready_by_service: dict[str, list[Instance]] = {}
         self._ready_revision = 0
+        self._versions_by_service: dict[str, set[str | None]] = {}
+        self._versions_revision = 0
 
     def note_outage(self, now: float) -> None:
         """Start the grace time again.
@@ -122,8 +124,18 @@
             self._removed_versions[change.name] = change.version
             return self._mark_missing(change.name, now)
         self._removed_versions.pop(change.name, None)
-        self._entries[change.name] = _Entry(change.instance, change.version)
-        if entry is None or entry.instance != change.instance:
+        instance = change.instance
+        if (
+            instance.software is None
+            and entry is not None
+            and change.version == entry.version
+        ):
+            # A host of an older build does not pass on the software version.
+            instance = dataclasses.replace(
+                instance, software=entry.instance.software
+            )
+        self._entries[change.name] = _Entry(instance, change.version)
+        if entry is None or entry.instance != instance:
             self._note_change(change.name)
             return True
         return False
@@ -203,6 +215,20 @@
             ]
         return ready_instances
 
+    def list_versions(self) -> dict[str, set[str | None]]:
+        """Return the software versions of the endpoints of each service.
+
+        Returns the same objects until the revision changes.
+        """
+        if self._versions_revision != self.revision:
+            self._versions_revision = self.revision
+            self._versions_by_service = {}
+            for entry in self._entries.values():
+                self._versions_by_service.setdefault(
+                    entry.instance.service, set()
+                ).add(entry.instance.software)
+        return self._versions_by_service
+
     def is_current(self, instance: Instance) -> bool:
         """Return whether this instance is still listed and may get new work.
 
--- a/src/cairnloom/routing/scheduler.py
+++ b/src/cairnloom/routing/scheduler.py
@@ -41,7 +41,8 @@
     engines that must not be chosen, ``avoided`` the names of engines that are
     chosen only if there are no others. ``cache_at`` is the name of the engine
     that holds the KV cache of the prompt, once a separate prefill is done.
-    ``resumes`` is true if a part of the answer was already sent.
+    ``resumes`` is true if a part of the answer was already sent. If
+    ``software`` is set, only engines of this software version may be chosen.
     """
 
     request: str
@@ -54,6 +55,7 @@
     avoided: list[str] = dataclasses.field(default_factory=list)
     cache_at: str = ''
     resumes: bool = False
+    software: str | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -283,6 +285,7 @@
             not placement_request.tried
             and not placement_request.avoided
             and not placement_request.resumes
+            and placement_request.software is None
         ):
             return groups
         # The engine that continues an answer also runs its prefill.
@@ -407,8 +410,13 @@
     ) -> Decision:
         cache_holder = self._directory.find(placement_request.cache_at)
         holder_domain = cache_holder.failure_domain if cache_holder else ''
+        decode_engines = engines.decode
+        if cache_holder is not None:
+            decode_engines = decode_engines.select_version(
+                cache_holder.software
+            )
         decode_choice = self._selector.choose_decode_engine(
-            engines.decode,
+            decode_engines,
             placement_request.work,
             holder_domain,
             0.0,
@@ -638,6 +646,7 @@
         engine
         for engine in engines
         if engine.instance.name not in placement_request.tried
+        and placement_request.software in (None, engine.instance.software)
     ]
     preferred_engines = [
         engine
--- a/src/cairnloom/routing/selection.py
+++ b/src/cairnloom/routing/selection.py
@@ -128,20 +128,46 @@
     """The engines that prefill and decode one prompt.
 
     ``decode`` is None if one engine does both. ``seconds`` is the expected
-    time to the first event.
+    time to the first event, and ``score`` adds the penalties for the delay of
+    other answers.
     """
 
     prefill: PrefillChoice
     decode: DecodeChoice | None
     seconds: float
 
+    @property
+    def score(self) -> float:
+        """How good the plan is; the lowest is the best."""
+        return self.seconds + (0.0 if self.decode else self.prefill.penalty)
+
 
 class EngineGroup:
     """Engines that may be chosen, and the home engines of prompt parts."""
 
     def __init__(self, members: list[endpoint_stats.Candidate]) -> None:
         self.members = members
+        self.versions = {member.instance.software for member in members}
         self._homes: dict[str, endpoint_stats.Candidate] = {}
+        self._by_version: dict[str | None, 'EngineGroup'] = {}
+
+    def select_version(self, version: str | None) -> 'EngineGroup':
+        """Return the group of the engines with a software version.
+
+        Returns the same object for the same version.
+        """
+        if self.versions == {version}:
+            return self
+        group = self._by_version.get(version)
+        if group is None:
+            group = self._by_version[version] = EngineGroup(
+                [
+                    member
+                    for member in self.members
+                    if member.instance.software == version
+                ]
+            )
+        return group
 
     def select_usable(self, now: float) -> 'EngineGroup':
         """Return the group without engines that failed recently.
@@ -293,11 +319,47 @@
     ) -> Plan | None:
         """Choose the engines for prefill and decode.
 
-        Both may run on the same engine. Returns None if there is no engine for
-        the decode.
+        Both may run on the same engine. They have the same software version,
+        since an engine can't use a KV cache that another version wrote.
+        Returns None if there is no engine for the decode.
         """
         prefill_engines = engines.prefill.select_usable(now)
         decode_engines = engines.decode.select_usable(now)
+        home_engine = prefill_engines.find_home(
+            model_work.parts[:-1]
+        ) or decode_engines.find_home(model_work.parts[:-1])
+        best_plan: Plan | None = None
+        lowest_score = float('inf')
+        for version in sorted(decode_engines.versions, key=str):
+            plan = self._plan_version(
+                prefill_engines.select_version(version),
+                decode_engines.select_version(version),
+                model_work,
+                targets,
+                urgency,
+                spec,
+                now,
+            )
+            if plan is None:
+                continue
+            score = plan.score
+            if home_engine and home_engine.instance.software != version:
+                score += AWAY_PENALTY_SECONDS
+            if score < lowest_score:
+                best_plan, lowest_score = plan, score
+        return best_plan
+
+    def _plan_version(
+        self,
+        prefill_engines: EngineGroup,
+        decode_engines: EngineGroup,
+        model_work: work.ModelWork,
+        targets: LatencyTargets,
+        urgency: int,
+        spec: routes.EngineSpec,
+        now: float,
+    ) -> Plan | None:
+        """Choose among engines of one software version."""
         shared_parts = model_work.parts[:-1]
         cache_holder, cached_tokens = _find_cache_holder(
             itertools.chain(prefill_engines.members, decode_engines.members),
--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -613,7 +613,11 @@
     deployment.set_mode('silent')
     atlas_deployment.run_in_reactor(hub._platform.store.on_failure)
     handlers = hubs.build_handlers(
-        hub._hub_sync, hub._host, hub._scheduler, hub._batching_table
+        hub._hub_sync,
+        hub._host,
+        hub._scheduler,
+        hub._batching_table,
+        hub._stream_origins,
     )
     call = server.JsonRequest('POST', messages.ROWS, b'{"key":"a"}', {})
     failures = []
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -78,8 +78,9 @@
     ]
     sound = [make_engine('s%d' % number, 'v%d' % number) for number in (1, 2)]
     deployment = deploy(*broken, *sound)
-    for parts in list_prompts():
-        answer = deployment.ask_model('/resume/x', parts)
+    for number, parts in enumerate(list_prompts()):
+        # Requests that are alike would be quarantined.
+        answer = deployment.ask_model('/resume/%d' % number, parts)
         assert (answer.status, answer.whole) == (200, True)
         for endpoint in broken:
             # A stream may begin at an engine that failed before.
@@ -148,13 +149,16 @@
         )
         for number in range(4)
     ]
-    for endpoint in endpoints:
-        endpoint.planned_faults.extend(['tear', '', 'tear', '', 'tear'])
+    for endpoint in endpoints[:2]:
+        endpoint.planned_faults.extend(['tear'] * 20)
     routes = [make_stream_route('/feed/', 'desk', MaxAttempts=3)]
     deployment = deploy(*endpoints, hosts=2, Routes=routes)
-    for _ in range(STREAM_COUNT):
-        answer = deployment.call('/feed/x', Accept='text/event-stream')
-        assert answer.status == 200
+    for number in range(STREAM_COUNT):
+        path = '/feed/%d' % number
+        answer = deployment.call(path, Accept='text/event-stream')
+        assert (answer.status, answer.whole) == (200, True)
+        for endpoint in endpoints[:2]:
+            deployment.forget_failures(endpoint.name)
     assert_versions_are_kept(deployment)
 
 
