Resume answers of the gateway at the same software version only

The platform's list may now name the version of each endpoint's software. An answer goes on at the version that sent its first token, and ends with an error at once if no listed endpoint is left that could serve it. Endpoints without a version count as alike, as before.

The new test failed on the code before (200 instead of 502); the tests of resumed, moved and drained answers pass.

--- a/src/cairnloom/admission/gates.py
+++ b/src/cairnloom/admission/gates.py
@@ -189,13 +189,23 @@
                     pending_work.tokens,
                 )
                 outcomes.append(Granted(pending_work, endpoint_choice))
-            elif now >= continuation.until:
+            elif now >= continuation.until or not self._may_still_start(
+                pending_work
+            ):
                 outcomes.append(self._refuse(pending_work))
             else:
                 continue
             del self._continuations[request_id]
         return outcomes
 
+    def _may_still_start(self, pending_work: PendingWork) -> bool:
+        """Return whether an endpoint may still continue an answer.
+
+        It can't if no endpoint has the version that began the answer.
+        """
+        needs = pending_work.needs
+        return not needs.software or self._router.has_endpoint(needs)
+
     def _start_request(
         self, pending_work: PendingWork, endpoint_choice: choice.Choice
     ) -> None:
--- a/src/cairnloom/backing/services.py
+++ b/src/cairnloom/backing/services.py
@@ -40,7 +40,8 @@
     ``cheap`` endpoints may be reclaimed by the platform at short notice. With
     ``checks_fence`` the endpoint refuses orders with a fencing token lower
     than the highest it has seen. ``order_id`` names the order that started it,
-    if there was one.
+    if there was one. ``software`` is the version of its software; an answer
+    that one version has begun can't go on at another.
     """
 
     endpoint: str
@@ -52,6 +53,7 @@
     checks_fence: bool = True
     state: Literal['starting', 'running', 'leaving'] = 'running'
     order_id: str = ''
+    software: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/gateway/completions.py
+++ b/src/cairnloom/gateway/completions.py
@@ -32,8 +32,8 @@
     """One model request, from its queueing to the end of its answer.
 
     If an attempt fails after tokens have arrived, the next endpoint resumes
-    the answer where it stopped. A request with a claim is not retried once it
-    may have run.
+    the answer where it stopped, if it has the same software version. A request
+    with a claim is not retried once it may have run.
     """
 
     def __init__(
@@ -59,6 +59,7 @@
         )
         self._avoided_endpoints: set[str] = set()
         self._avoided_domains: set[str] = set()
+        self._software: str | None = None
         self._charged_tokens = 0.0
         self._last_token_at = 0.0
         self._sent_at = 0.0
@@ -228,6 +229,8 @@
             self._state.endpoint_view.note_first_token(
                 endpoint_choice.sent, now - self._sent_at, now
             )
+        if self._software is None:
+            self._software = endpoint_choice.software
         if self._answer.tokens == 1:
             seconds_waited = now - self._request.arrived_at
             self._state.metrics.time(
@@ -410,6 +413,7 @@
             prefix=self._prompt.text,
             avoid=frozenset(self._avoided_endpoints),
             avoid_domains=frozenset(self._avoided_domains),
+            software=self._software,
         )
         expected_cost = queues.token_cost(
             self._prompt.tokens, self._expected_output()
--- a/src/cairnloom/routing/choice.py
+++ b/src/cairnloom/routing/choice.py
@@ -52,7 +52,8 @@
     Endpoints in ``avoid`` are never chosen, failure domains in
     ``avoid_domains`` only if there is no other. ``max_seconds`` bounds the
     time to the first token, ``max_queue_seconds`` the part of it that the
-    request may spend in the endpoint's own queue.
+    request may spend in the endpoint's own queue. If ``software`` is set, only
+    endpoints with this version of their software are chosen.
     """
 
     group: str
@@ -62,6 +63,7 @@
     avoid_domains: frozenset[str] = frozenset()
     max_seconds: float = float('inf')
     max_queue_seconds: float = float('inf')
+    software: str | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,13 +71,15 @@
     """The chosen endpoint.
 
     ``sent`` holds the estimates that the view later compares with the actual
-    time to the first token.
+    time to the first token. ``software`` is the version of the endpoint's
+    software.
     """
 
     endpoint: str
     address: str
     failure_domain: str
     sent: views.SentRequest
+    software: str = ''
 
 
 def hash_text(text: str) -> int:
@@ -130,7 +134,7 @@
     ) -> None:
         self.view = view
         self._random_source = random_source
-        self._rings: dict[str, _Ring] = {}
+        self._rings: dict[tuple[str, str | None], _Ring] = {}
         self._generation = -1
         self._endpoint_by_prefix: collections.OrderedDict[int, str] = (
             collections.OrderedDict()
@@ -143,7 +147,7 @@
         the few candidates are all unusable, a bounded number of others is
         tried.
         """
-        ring = self._find_ring(needs.group)
+        ring = self._find_ring(needs)
         if ring is None:
             return None
         self.view.refresh(ring.endpoints, now)
@@ -162,14 +166,35 @@
             self._remember_endpoint(position, best_choice.endpoint)
         return best_choice
 
-    def _find_ring(self, group: str) -> _Ring | None:
+    def has_endpoint(self, needs: EndpointRequirements) -> bool:
+        """Return whether any listed endpoint could serve, now or later."""
+        ring = self._find_ring(needs)
+        return ring is not None and any(
+            tracked_endpoint.entry.endpoint not in needs.avoid
+            for tracked_endpoint in ring.endpoints
+        )
+
+    def _find_ring(self, needs: EndpointRequirements) -> _Ring | None:
         if self._generation != self.view.generation:
-            groups = self.view.groups()
             self._rings = {
-                name: _Ring(endpoints) for name, endpoints in groups.items()
+                (group, None): _Ring(endpoints)
+                for group, endpoints in self.view.groups().items()
             }
             self._generation = self.view.generation
-        return self._rings.get(group)
+        whole_ring = self._rings.get((needs.group, None))
+        if needs.software is None or whole_ring is None:
+            return whole_ring
+        key = (needs.group, needs.software)
+        ring = self._rings.get(key)
+        if ring is None:
+            ring = self._rings[key] = _Ring(
+                [
+                    tracked_endpoint
+                    for tracked_endpoint in whole_ring.endpoints
+                    if tracked_endpoint.entry.software == needs.software
+                ]
+            )
+        return ring
 
     def _draw_random(
         self, ring: _Ring, max_count: int
@@ -269,4 +294,5 @@
         tracked_endpoint.entry.address,
         tracked_endpoint.entry.failure_domain,
         sent,
+        tracked_endpoint.entry.software,
     )
--- a/src/cairnloom/routing/views.py
+++ b/src/cairnloom/routing/views.py
@@ -402,6 +402,8 @@
             )
             self.generation += 1
             return
+        if tracked_endpoint.entry.software != entry.software:
+            self.generation += 1
         tracked_endpoint.entry = entry
 
     def _eject_endpoint(
--- a/src/cairnloom/settings.py
+++ b/src/cairnloom/settings.py
@@ -108,7 +108,8 @@
     """An endpoint that the stand-in runs from its start on.
 
     ``cheap`` endpoints may be reclaimed, and those with ``checks_fence``
-    refuse orders with an outdated fencing token.
+    refuse orders with an outdated fencing token. ``software`` is the version
+    of the endpoint's software.
     """
 
     model_config = _STRICT
@@ -120,6 +121,7 @@
     port: int = pydantic.Field(0, ge=0, le=65535)
     cheap: bool = False
     checks_fence: bool = True
+    software: str = ''
 
 
 class StandinSettings(pydantic.BaseModel):
--- a/src/cairnloom/standins/fleet.py
+++ b/src/cairnloom/standins/fleet.py
@@ -60,6 +60,7 @@
                 model=item.model,
                 cheap=item.cheap,
                 checks_fence=item.checks_fence,
+                software=item.software,
             )
             self._start(entry, item.port)
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -161,6 +161,24 @@
     assert system.read_record()['crashes'] == 1
 
 
+def test_answer_is_not_resumed_at_another_software_version():
+    endpoints = processes.default_endpoints(engines=2)
+    for endpoint, software in zip(endpoints, ('v1', 'v2')):
+        endpoint['software'] = software
+    with processes.System(1, endpoints, standin=SLOW_DECODING) as system:
+        request = BackgroundRequest(
+            system, 'host-1', system.configure(), max_tokens=40
+        )
+        processes.wait_until(lambda: count_running(system, 'host-1') == 1)
+        time.sleep(0.6)
+        for endpoint in system.read_state('host-1')['endpoints']:
+            if endpoint['own_running'] and endpoint['kind'] == 'engine':
+                system.inject_faults(crash_endpoint=endpoint['endpoint'])
+        crashed_at = time.monotonic()
+        assert request.wait()[0] == 502
+        assert time.monotonic() - crashed_at < 2.0
+
+
 def test_request_that_crashes_engines_is_quarantined(system):
     crashing_prompt = 'crash-this-engine now'
     statuses = []
