Prove that streams are taken up at their version only; close three gaps

Found while writing them: - the versions were looked at every 0.25 s only, so a stream could be sent to a version that had just appeared without being reported; - a host that is cut off from the others and from the store took the only version that it knew for that of any stream; now a host that takes a stream up always asks the hubs, and needs one that the store answers, or all; - the stand-in's default for the pause between events no longer followed its constant (a test of a leaving host failed).

--- a/src/cairnloom/entry/messages.py
+++ b/src/cairnloom/entry/messages.py
@@ -144,12 +144,13 @@
     reported. ``only_version`` is set if the service had endpoints of just this
     version for as long as a stream may last. ``seen`` are the versions that
     the host has seen in that time, None among them if it does not know the
-    version of an endpoint.
+    version of an endpoint. ``fresh`` is set if the store answers the host.
     """
 
     version: str | None
     only_version: str | None
     seen: list[str | None]
+    fresh: bool
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/entry/stream_origins.py
+++ b/src/cairnloom/entry/stream_origins.py
@@ -56,11 +56,14 @@
 
     def watch(self) -> None:
         """Record which versions serve now, and drop old streams."""
-        now = self._reactor.seconds()
-        self._versions.remove_expired(now)
+        self._versions.remove_expired(self._reactor.seconds())
+        self._update_history()
+
+    def _update_history(self) -> None:
         directory = self._cluster_state.directory
         if not directory.loaded:
             return
+        now = self._reactor.seconds()
         for service, versions in directory.list_versions().items():
             self._history.note_listed(service, versions, now)
         for service in self._history.list_services():
@@ -78,6 +81,7 @@
         Nothing needs to be known of it if all streams of the service begin at
         one version.
         """
+        self._update_history()
         now = self._reactor.seconds()
         service = request.service.name
         if (
@@ -105,16 +109,13 @@
 
         Returns None if neither this host nor the hubs know it.
         """
-        now = self._reactor.seconds()
-        service, key = request.service.name, _make_key(request)
-        own_answer = self.answer(messages.StreamQuery(key, service))
-        version = own_answer.version or self._history.find_only_version(
-            service, now
-        )
-        answers = [own_answer]
+        query = messages.StreamQuery(_make_key(request), request.service.name)
+        answers = [self.answer(query)]
+        version = answers[0].version
         if version is None:
-            answers += await self._ask_hubs(messages.StreamQuery(key, service))
-            version = _choose_version(answers)
+            hubs = self._list_hubs()
+            answers += await self._ask_hubs(hubs, query)
+            version = self._choose_version(answers, len(hubs))
         logs.log_event(
             'stream_taken_up',
             request=request.metadata.request_id,
@@ -126,23 +127,23 @@
 
     def answer(self, query: messages.StreamQuery) -> messages.StreamReply:
         """Answer another host that looks for the version of a stream."""
+        self._update_history()
         now = self._reactor.seconds()
         return messages.StreamReply(
             self._versions.find(query.stream, now),
             self._history.find_only_version(query.service, now),
             list(self._history.list_versions(query.service)),
+            self._cluster_state.is_store_reachable(),
         )
 
+    def _list_hubs(self) -> list[members.HostRow]:
+        own_host = self._members.own_row.host
+        hubs = [hub for hub in self._members.hubs() if hub.host != own_host]
+        return hubs[:MAX_ASKED_HUBS]
+
     async def _ask_hubs(
-        self, query: messages.StreamQuery
+        self, hubs: list[members.HostRow], query: messages.StreamQuery
     ) -> list[messages.StreamReply]:
-        now = self._reactor.seconds()
-        hubs = [
-            hub
-            for hub in self._members.hubs()
-            if hub.host != self._members.own_row.host
-            and not self._members.is_avoided(hub, now)
-        ]
         answers: list[messages.StreamReply] = []
 
         async def ask(hub: members.HostRow) -> None:
@@ -161,11 +162,34 @@
                     'stream_not_found', hub=hub.host, reason=str(fault)
                 )
 
-        await concurrency.gather_or_raise(
-            [ask(hub) for hub in hubs[:MAX_ASKED_HUBS]]
-        )
+        await concurrency.gather_or_raise([ask(hub) for hub in hubs])
         return answers
 
+    def _choose_version(
+        self, answers: list[messages.StreamReply], asked_hubs: int
+    ) -> str | None:
+        """Return the version on which this host and the hubs agree.
+
+        The stream may also have begun at the only version that they have seen.
+        That does not hold for hosts that were cut off from the others and from
+        the store.
+        """
+        versions = {answer.version for answer in answers} - {None}
+        if not versions:
+            versions = {answer.only_version for answer in answers} - {None}
+            seen = {version for answer in answers for version in answer.seen}
+            now = self._reactor.seconds()
+            all_hubs_answered = len(answers) > asked_hubs
+            has_lost_hosts = (
+                self._members.count() < self._members.highest_count(now)
+            )
+            is_current = any(answer.fresh for answer in answers) or (
+                all_hubs_answered and not has_lost_hosts
+            )
+            if versions != seen or not is_current:
+                return None
+        return versions.pop() if len(versions) == 1 else None
+
 
 def _make_key(request: requests.Request) -> str:
     metadata = request.metadata
@@ -174,18 +198,3 @@
         request.service.name,
         metadata.resumed or metadata.request_id,
     )
-
-
-def _choose_version(answers: list[messages.StreamReply]) -> str | None:
-    """Return the version on which the answers of several hosts agree.
-
-    A host that has watched the service for long enough may know that it had
-    one version only, even if the others have just started.
-    """
-    reported = {answer.version for answer in answers} - {None}
-    if not reported:
-        reported = {answer.only_version for answer in answers} - {None}
-        seen = {version for answer in answers for version in answer.seen}
-        if reported != seen:
-            return None
-    return reported.pop() if len(reported) == 1 else None
--- a/src/cairnloom/standins/atlas.py
+++ b/src/cairnloom/standins/atlas.py
@@ -224,7 +224,8 @@
     ``crashes`` counts these crashes. ``rate_limit`` is the number of requests
     per second that the endpoint names as its limit, if it has one.
     ``software`` is the version of its software, and ``born`` the time of its
-    start in Unix milliseconds, left out if 0.
+    start in Unix milliseconds, left out if 0. ``event_seconds`` is the time
+    between two events of its streams, if it is not EVENT_SECONDS.
     """
 
     name: str
@@ -248,6 +249,7 @@
     prefill_seconds: float = 0.0
     software: str = 'v1'
     born: int = 0
+    event_seconds: float | None = None
 
     def row(self, state: str = 'ready') -> bytes:
         """Return the value of the row in which the endpoint registers."""
@@ -637,7 +639,7 @@
         if fault == 'again' and number == 2:
             request.write(event)
         self.reactor.callLater(
-            EVENT_SECONDS,
+            self._endpoint.event_seconds or EVENT_SECONDS,
             self._send_event,
             request,
             received,
--- a/tests/atlas_deployment.py
+++ b/tests/atlas_deployment.py
@@ -4,6 +4,7 @@
 own, and tests reach the hosts over sockets.
 """
 
+import contextlib
 import dataclasses
 import http.client
 import re
@@ -164,6 +165,11 @@
         self._ports.append(port)
         return port.getHost().port
 
+    def add_endpoint(self, endpoint):
+        """Start another endpoint."""
+        self.endpoints[endpoint.name] = endpoint
+        run_in_reactor(self._open_endpoint, endpoint)
+
     def remove_endpoint(self, name):
         """Remove the row of an endpoint, which goes on."""
         run_in_reactor(self.store.put, 'servers', name, None)
@@ -289,6 +295,12 @@
 
         Returns the id of the request, and the number of the last event.
         """
+        with self.hold_stream(path, parts, host) as stream:
+            return stream
+
+    @contextlib.contextmanager
+    def hold_stream(self, path='/resume/x', parts='aa:100,bb:50', host=0):
+        """Begin a stream and hold its connection; see `begin_stream`."""
         tokens = sum(int(part.split(':')[1]) for part in parts.split(','))
         headers = self.headers(
             Accept='text/event-stream',
@@ -307,8 +319,8 @@
                 part = connection.recv(65536)
                 assert part, 'no event but %r' % received
                 received += part
-        numbers = re.findall(rb'id: (\d+)\n', received)
-        return headers['Attempt-Id'], int(numbers[-1])
+            numbers = re.findall(rb'id: (\d+)\n', received)
+            yield headers['Attempt-Id'], int(numbers[-1])
 
     def resume_stream(self, stream, path='/resume/x', **options):
         """Take up a stream, as its caller would at any host.
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -4,9 +4,13 @@
 at other hosts.
 """
 
+import dataclasses
+
 import atlas_deployment
 import pytest
 
+from cairnloom.routing import instances
+from cairnloom.routing import stream_versions
 from cairnloom.standins import atlas
 
 # So many streams that some of them begin at each version.
@@ -30,9 +34,11 @@
         deployment.close()
 
 
-def make_engine(name, software, role='decode', faults=(), **options):
+def make_engine(
+    name, software, role='decode', faults=(), service='model', **options
+):
     endpoint = atlas.Endpoint(
-        name, 'model', role=role, software=software, **options
+        name, service, role=role, software=software, **options
     )
     endpoint.planned_faults.extend(faults)
     return endpoint
@@ -55,6 +61,14 @@
                 endpoint.planned_faults.append('shed')
 
 
+def pretend_to_have_watched(program):
+    """Have a host know the services for longer than any stream lasts."""
+    atlas_deployment.run_in_reactor(program._stream_origins.watch)
+    for history in program._stream_origins._history._services.values():
+        history.since -= stream_versions.STREAM_SECONDS
+    atlas_deployment.run_in_reactor(program._stream_origins.watch)
+
+
 def assert_versions_are_kept(deployment):
     versions = deployment.list_versions().values()
     assert all(len(versions_of_one) == 1 for versions_of_one in versions)
@@ -186,3 +200,146 @@
     assert decodes
     for address, software in decodes:
         assert software_by_address[address] == software
+
+
+def test_stream_of_the_only_version_goes_on_at_any_host(deploy):
+    """A host that knows nothing of a stream must not refuse it."""
+    engines = [make_engine('e%d' % number, 'v1') for number in range(3)]
+    deployment = deploy(*engines, hosts=2)
+    for program in deployment.programs:
+        pretend_to_have_watched(program)
+    stream = deployment.begin_stream()
+    for program in deployment.programs:
+        assert not len(program._stream_origins._versions)
+    refuse_at_first_engine(deployment, stream)
+    answer = deployment.resume_stream(stream, host=1)
+    assert (answer.status, answer.whole) == (200, True)
+
+
+def test_new_host_learns_from_hubs_that_there_was_one_version(deploy):
+    engines = [make_engine('e%d' % number, 'v1') for number in range(3)]
+    deployment = deploy(*engines, hosts=3)
+    for program in deployment.programs:
+        pretend_to_have_watched(program)
+    stream = deployment.begin_stream()
+    deployment.start_host('host-4')
+    atlas_deployment.wait_for(
+        lambda: deployment.programs[3]._members.count() == 4
+    )
+    answer = deployment.resume_stream(stream, host=3)
+    assert (answer.status, answer.whole) == (200, True)
+
+
+def test_stream_in_progress_is_reported_when_a_second_version_appears(deploy):
+    engines = [make_engine('e%d' % number, 'v1') for number in range(2)]
+    for engine in engines:
+        engine.event_seconds = 0.3
+    deployment = deploy(*engines, hosts=3)
+    for program in deployment.programs:
+        pretend_to_have_watched(program)
+    hub = deployment.find_scheduling_hub()
+    other = deployment.programs.index(hub) - 1
+    with deployment.hold_stream(host=other) as stream:
+        assert not len(hub._stream_origins._versions)
+        deployment.add_endpoint(make_engine('e9', 'v2'))
+        atlas_deployment.wait_for(lambda: len(hub._stream_origins._versions))
+        refuse_at_first_engine(deployment, stream)
+        answer = deployment.resume_stream(stream, host=other - 1)
+    assert (answer.status, answer.whole) == (200, True)
+    assert deployment.list_versions()[stream[0]] == {'v1'}
+
+
+def test_stream_that_nobody_knows_is_refused_while_versions_are_mixed(deploy):
+    engines = make_engines_of_two_versions()
+    deployment = deploy(*engines, hosts=2)
+    answer = deployment.resume_stream(('of-a-lost-host', 2))
+    assert answer.status == 503
+    assert not any(engine.received for engine in engines)
+
+
+def test_stream_is_not_taken_up_by_another_team(deploy):
+    teams = [
+        {'Name': 'team-1', 'ApiKeys': [atlas_deployment.KEY]},
+        {'Name': 'team-2', 'ApiKeys': ['key-2']},
+    ]
+    deployment = deploy(*make_engines_of_two_versions(), Tenants=teams)
+    stream = deployment.begin_stream()
+    answer = deployment.resume_stream(stream, Authorization='Bearer key-2')
+    assert answer.status == 503
+
+
+def test_engine_that_restarted_at_another_version_continues_nothing(deploy):
+    """Its row still describes the run before."""
+    engines = [
+        make_engine('e1', 'v1', born=1000),
+        make_engine('e2', 'v1', born=1000),
+    ]
+    deployment = deploy(*engines)
+    stream = deployment.begin_stream()
+    for engine in engines:
+        engine.software, engine.born = 'v2', 2000
+    assert deployment.resume_stream(stream).status == 503
+    engines[1].software, engines[1].born = 'v1', 1000
+    deployment.forget_failures('e2')
+    assert deployment.resume_stream(stream).status == 200
+    assert deployment.list_versions()[stream[0]] == {'v1'}
+
+
+def test_placement_of_an_older_hub_is_checked(deploy):
+    deployment = deploy(*make_engines_of_two_versions(), hosts=3)
+    hub = deployment.find_scheduling_hub()
+    place = hub._scheduler.place
+
+    def ignore_versions(host, request, now, limit_share=1.0):
+        older_request = dataclasses.replace(request, software=None)
+        return place(host, older_request, now, limit_share)
+
+    hub._scheduler.place = ignore_versions
+    other = deployment.programs.index(hub) - 1
+    for parts in list_prompts():
+        stream = deployment.begin_stream(parts=parts, host=other)
+        refuse_at_first_engine(deployment, stream)
+        answer = deployment.resume_stream(stream, parts=parts, host=other)
+        assert (answer.status, answer.whole) == (200, True)
+    assert_versions_are_kept(deployment)
+
+
+def test_rows_from_a_hub_of_an_older_build_do_not_hide_versions():
+    known = instances.Instance('e1', 'model', '127.0.0.1', 1, 'a')
+    known = dataclasses.replace(known, software='v1')
+    directory = instances.Directory()
+    directory.apply(instances.InstanceChange('e1', 5, known), 0.0)
+    unnamed = dataclasses.replace(known, software=None)
+    directory.apply(instances.InstanceChange('e1', 5, unnamed), 0.0)
+    assert directory.find('e1').software == 'v1'
+    directory.apply(instances.InstanceChange('e1', 6, unnamed), 0.0)
+    assert directory.find('e1').software is None
+
+
+def test_split_route_sends_a_stream_to_the_service_that_began_it(deploy):
+    engines = [
+        make_engine('e%d' % number, 'v1', service=service)
+        for number, service in enumerate(('model', 'model-2') * 2)
+    ]
+    configuration = atlas_deployment.make_configuration()
+    services = configuration['Services']
+    services.append(services[1] | {'Name': 'model-2'})
+    split = [
+        {'Service': 'model', 'Weight': 50},
+        {'Service': 'model-2', 'Weight': 50},
+    ]
+    route = make_stream_route('/resume/', '', TrafficSplit=split)
+    del route['Service']
+    deployment = deploy(*engines, Routes=[route], Services=services)
+    for parts in list_prompts():
+        stream = deployment.begin_stream(parts=parts)
+        refuse_at_first_engine(deployment, stream)
+        assert deployment.resume_stream(stream, parts=parts).status == 200
+        services_of_one = {
+            endpoint.service
+            for endpoint in engines
+            for received in endpoint.received
+            if stream[0]
+            in (received.header(b'Attempt-Id'), received.header(b'Resumes'))
+        }
+        assert len(services_of_one) == 1
