Add failing tests for hosts that are cut off from all endpoints

The stand-ins cut one host off while its callers, the store and other hosts still reach it: open connections live on and new ones are refused, are reset, or nothing passes. On this code, callers of such a host get 503 or 502 in all three ways, and all hosts avoid the engines that it could not reach.

A seventh test shows that a connection to a sound endpoint is given up after 0.5 s of silence, if it begins just before a keep-alive probe is due.

--- a/tests/atlas_deployment.py
+++ b/tests/atlas_deployment.py
@@ -22,6 +22,7 @@
 from cairnloom.platform import program as platform_program
 from cairnloom.runtime import clock
 from cairnloom.standins import atlas
+from cairnloom.standins import links
 
 reactor = clock.install()
 _REACTOR_THREAD = threading.Thread(
@@ -139,6 +140,8 @@
         self.endpoints = {endpoint.name: endpoint for endpoint in endpoints}
         self._by_address = {}
         self._ports = []
+        self._endpoint_ports = set()
+        self.links = []
         self._ids = 0
         self.programs = []
         run_in_reactor(self._open, endpoints)
@@ -157,6 +160,7 @@
     def _open_endpoint(self, endpoint):
         server = atlas.EndpointServer(reactor, endpoint, self._by_address)
         endpoint.port = self._listen(server)
+        self._endpoint_ports.add(endpoint.port)
         self._by_address['127.0.0.1:%d' % endpoint.port] = endpoint
         self.store.put('servers', endpoint.name, endpoint.row())
 
@@ -188,12 +192,14 @@
         """Write a configuration, as the operator would."""
         run_in_reactor(self.store.put, 'op', 'config', orjson.dumps(fields))
 
-    def start_host(self, name, seeds=(), ready=True, **bounds):
+    def start_host(self, name, seeds=(), ready=True, domain='a', **bounds):
         """Start a host and, with ``ready``, wait until it is ready."""
+        link = links.LinkedReactor(reactor, self._endpoint_ports)
+        self.links.append(link)
         any_port = settings.Address('127.0.0.1', 0)
         host_settings = settings.HostSettings(
             host=name,
-            failure_domain='a',
+            failure_domain=domain,
             domains=('a', 'b'),
             callers=any_port,
             health=any_port,
@@ -207,7 +213,7 @@
         )
         host_program = run_in_reactor(
             program.Program,
-            reactor,
+            link,
             host_settings,
             platform_program.make_connector(host_settings),
         )
@@ -217,10 +223,19 @@
             wait_for(lambda: self.probe(host_program) == 200)
         return host_program
 
-    def start_hosts(self, count):
+    def cut(self, host, mode):
+        """Cut a host off from all endpoints."""
+        run_in_reactor(self.links[host].cut, mode)
+
+    def heal(self, host):
+        """Let a host reach the endpoints again."""
+        run_in_reactor(self.links[host].heal)
+
+    def start_hosts(self, count, domains=('a',)):
         """Start hosts and wait until all of them know each other."""
         for number in range(count):
-            self.start_host('host-%d' % (number + 1))
+            domain = domains[number % len(domains)]
+            self.start_host('host-%d' % (number + 1), domain=domain)
         wait_for(
             lambda: all(
                 host_program._members.count() == count
