Serve callers of a host that is cut off from the endpoints through other hosts

What callers saw: 503 or 502 from hosts that had lost their links to the endpoints, while other hosts reached them. Cause: a host had no way to an endpoint but its own, and took a failure of that way for one of the endpoint. It told the scheduling hub so, which then avoided sound engines for all hosts, and blamed requests for crashes.

- If a host can't connect, it asks three others whether they can.
If one can, its own path is broken.
Requests then go through other hosts, of other failure domains first, and chosen at random among eight, until a probe gets through.
The other host passes the answer on as it arrives, and uses its own path only, so that there are no loops.
Attempts, deadline, retry budget, limits, billing and versions stay with the host that took the request.
- With two broken paths and no new connection since, a host is cut off: it tries no path of its own first, drops idle connections if nothing came back on them, passes nothing on, and its word on endpoints counts for nothing.
- A lost connection is reported to the quarantine, as a crash, and to the scheduling hub only after a check that the endpoint is at fault.
- Reports of engines, lists of cached parts and freeing of caches go the same ways; orders only straight from the holder of the lease.

--- a/src/cairnloom/entry/attempts.py
+++ b/src/cairnloom/entry/attempts.py
@@ -80,17 +80,24 @@
             request.count_usage(sent_at + start_delay)
     match outcome:
         case outcomes.Failed(reason=reason):
+            request.possible_runs += 1
+            request.log_failed_attempt(instance, 'failed', reason)
             if outcome.connection_lost:
                 request.note_connection_lost(
-                    instance, request.caller.head_sent, sent_at, event_count
+                    requests.LostConnection(
+                        instance,
+                        request.caller.head_sent,
+                        sent_at,
+                        host.now(),
+                        event_count,
+                    )
                 )
-            request.possible_runs += 1
-            request.log_failed_attempt(instance, 'failed', reason)
-            if outcome.head is None:
+            elif outcome.head is None and not outcome.own_path:
                 stats.note_failure(host.now())
         case outcomes.NotRun(reason=reason, arrived=arrived):
             request.log_failed_attempt(instance, 'not_run', reason)
-            stats.note_failure(host.now())
+            if not outcome.own_path:
+                stats.note_failure(host.now())
             if not arrived:
                 request.endpoints_reached -= 1
         case outcomes.Answered():
@@ -140,8 +147,9 @@
         headers,
         caller.body,
         repeatable,
+        request.metadata.request_id,
     )
-    response = await host.upstream.open(call)
+    response = await host.paths.open(call)
     head = host.header_codec.read_head(response.status, response.headers)
     if head.request_id and head.request_id != request.metadata.request_id:
         response.drop()
@@ -201,8 +209,10 @@
 
 def _classify_fault(fault: exceptions.EndpointError) -> outcomes.Outcome:
     if not fault.may_have_run:
-        return outcomes.NotRun(str(fault), False)
-    return outcomes.Failed(str(fault), fault.connection_lost)
+        return outcomes.NotRun(str(fault), False, fault.own_path)
+    return outcomes.Failed(
+        str(fault), fault.connection_lost, own_path=fault.own_path
+    )
 
 
 class _Stream:
--- a/src/cairnloom/entry/generation.py
+++ b/src/cairnloom/entry/generation.py
@@ -145,6 +145,12 @@
             self._note_stream_begun,
         )
         match outcome:
+            case (
+                outcomes.Failed(connection_lost=True)
+                | outcomes.Failed(own_path=True)
+                | outcomes.NotRun(own_path=True)
+            ):
+                self._note_engine_failed('')
             case outcomes.Failed() | outcomes.NotRun():
                 self._note_engine_failed(answering_engine.name)
         if (
@@ -204,6 +210,7 @@
         )
 
     def _note_engine_failed(self, engine: str) -> None:
+        """Report a failed attempt, and the engine if it is at fault."""
         event = scheduler.PlacementEvent(
             self._placement_id, 'failed', failed=engine
         )
@@ -261,12 +268,19 @@
         sent_at: float,
     ) -> outcomes.Outcome:
         connection_lost = getattr(fault, 'connection_lost', False)
+        now = self._host.now()
         if connection_lost and getattr(fault, 'may_have_run', False):
-            self._request.note_connection_lost(prefill_engine, False, sent_at)
-        self._host.endpoint_stats.for_instance(prefill_engine).note_failure(
-            self._host.now()
-        )
-        self._note_engine_failed(prefill_engine.name)
+            self._request.note_connection_lost(
+                requests.LostConnection(prefill_engine, False, sent_at, now)
+            )
+            self._note_engine_failed('')
+        elif getattr(fault, 'own_path', False):
+            self._note_engine_failed('')
+        else:
+            self._host.endpoint_stats.for_instance(
+                prefill_engine
+            ).note_failure(now)
+            self._note_engine_failed(prefill_engine.name)
         self._request.log_failed_attempt(prefill_engine, 'prefill', str(fault))
         return outcomes.NotRun(str(fault), False)
 
--- a/src/cairnloom/entry/hubs.py
+++ b/src/cairnloom/entry/hubs.py
@@ -9,7 +9,6 @@
 
 import base64
 import dataclasses
-import hashlib
 from typing import Callable
 
 from .. import exceptions
@@ -196,7 +195,8 @@
             return candidates[0]
         own_host = self._members.own_row.host
         return max(
-            preferred_hubs, key=lambda row: _compute_score(own_host, row.host)
+            preferred_hubs,
+            key=lambda row: members.hash_pair(own_host, row.host),
         )
 
     async def _ask(
@@ -299,10 +299,6 @@
             self._members.refresh(now, reply.oldest)
 
 
-def _compute_score(host: str, hub: str) -> bytes:
-    return hashlib.blake2b(('%s %s' % (host, hub)).encode()).digest()
-
-
 def build_handlers(
     hub_sync: HubSync,
     host: state.HostContext,
--- a/src/cairnloom/entry/leader_tasks.py
+++ b/src/cairnloom/entry/leader_tasks.py
@@ -181,6 +181,9 @@
     ) -> None:
         outcome = 'not sent'
         fence = 0
+        if self._host.paths.is_broken(order.instance):
+            # Orders go from the holder of the lease only.
+            return
         try:
             report = await self._engines.report(order.instance)
             authority = get_authority()
--- a/src/cairnloom/entry/members.py
+++ b/src/cairnloom/entry/members.py
@@ -9,6 +9,7 @@
 """
 
 import dataclasses
+import hashlib
 import statistics
 
 # There is one hub for each HOSTS_PER_HUB hosts, but at least MIN_HUBS.
@@ -324,6 +325,11 @@
     ]
 
 
+def hash_pair(host: str, other_host: str) -> bytes:
+    """Return a hash by which each host ranks the others differently."""
+    return hashlib.blake2b(('%s %s' % (host, other_host)).encode()).digest()
+
+
 def strip_clock(row: HostRow) -> HostRow:
     """Return a row without ``clock_ahead``, which changes all the time."""
     return dataclasses.replace(row, clock_ahead=None)
--- a/src/cairnloom/entry/messages.py
+++ b/src/cairnloom/entry/messages.py
@@ -24,6 +24,8 @@
 EVENTS = '/notes'
 PERMIT = '/permit'
 STREAM = '/stream'
+REACH = '/reach'
+PASS_ON = '/pass-on'
 ROWS = '/rows'
 TRANSACTIONS = '/transactions'
 USAGE = '/books'
@@ -153,6 +155,58 @@
     fresh: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class ReachQuery:
+    """Ask another host whether it can connect to a run of an endpoint."""
+
+    endpoint: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ReachReply:
+    """Whether the host can connect to the endpoint.
+
+    ``cut_off`` is set if it seems to reach no endpoint at all.
+    """
+
+    reached: bool
+    cut_off: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class PassedCall:
+    """Ask another host to send a request to an endpoint.
+
+    ``host`` is the name of the host that is asked, ``endpoint`` the run of the
+    endpoint, and ``body`` is in base64. ``request`` is the caller's id. The
+    answer is that of the endpoint, as it arrives, or a refusal.
+    """
+
+    host: str
+    endpoint: str
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: str
+    repeatable: bool
+    request: str
+
+
+@dataclasses.dataclass(frozen=True)
+class PassOnRefusal:
+    """Why a host did not pass on the answer of an endpoint.
+
+    ``tried`` is set if it tried to send the request; only then the endpoint
+    ``may_have_run`` it.
+    """
+
+    reason: str
+    tried: bool
+    may_have_run: bool
+    connection_lost: bool
+    cut_off: bool
+
+
 @dataclasses.dataclass(frozen=True)
 class PermitCall:
     """Ask the scheduling hub to count a request to a limited endpoint.
--- a/src/cairnloom/entry/outcomes.py
+++ b/src/cairnloom/entry/outcomes.py
@@ -18,11 +18,13 @@
 class NotRun:
     """The endpoint certainly did not run the request.
 
-    ``arrived`` is set if the request reached the endpoint.
+    ``arrived`` is set if the request reached the endpoint, and ``own_path`` if
+    the endpoint may be sound and only the path from this host to it broken.
     """
 
     reason: str
     arrived: bool
+    own_path: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,13 +33,14 @@
 
     ``head`` and ``body`` are the failure response of the endpoint, if it sent
     a complete one. ``connection_lost`` is set if the connection was lost
-    before the response ended.
+    before the response ended. ``own_path`` is as for :class:`NotRun`.
     """
 
     reason: str
     connection_lost: bool = False
     head: work.ResponseHead | None = None
     body: bytes = b''
+    own_path: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -38,6 +38,7 @@
 from . import leader_tasks
 from . import members
 from . import messages
+from . import paths
 from . import peers
 from . import registration
 from . import relay
@@ -163,6 +164,16 @@
             own_scheduler_client.report_stream,
         )
         self._stream_origins.on_mixed = self._report_streams
+        own_upstream = upstream.Upstream(reactor, platform.read_idle_timeout)
+        self._paths = paths.Paths(
+            reactor,
+            own_upstream,
+            cluster,
+            self._members,
+            self._peers,
+            lambda: self._host.leaving,
+        )
+        platform.engines.paths = self._paths
         clock = clocks.SharedClock(reactor, lambda: platform.store.clock_ahead)
         self._host = state.HostContext(
             settings=host_settings,
@@ -170,7 +181,8 @@
             header_codec=platform.header_codec,
             engines=platform.engines,
             cluster_state=cluster,
-            upstream=upstream.Upstream(reactor, platform.read_idle_timeout),
+            upstream=own_upstream,
+            paths=self._paths,
             endpoint_stats=stats,
             endpoint_selector=endpoint_selector,
             exchange=load_exchange,
@@ -253,6 +265,9 @@
             programs.PeriodicTask(
                 reactor, EXPIRE_INTERVAL_SECONDS, self._remove_expired
             ),
+            programs.PeriodicTask(
+                reactor, paths.PROBE_INTERVAL_SECONDS, self._paths.probe
+            ),
             programs.PeriodicTask(
                 reactor,
                 cache_discovery.CHECK_INTERVAL_SECONDS,
@@ -284,7 +299,8 @@
                 self._scheduler,
                 self._batching_table,
                 self._stream_origins,
-            ),
+            )
+            | self._paths.handlers(),
         )
         self._ports['admin'] = server.listen(
             self._reactor,
@@ -358,7 +374,11 @@
     async def _drain(self, drain_end: float) -> None:
         while self._host.now() < drain_end:
             self._listener.close_idle()
-            if not self._router.in_flight and not self._listener.channels:
+            if not (
+                self._router.in_flight
+                or self._listener.channels
+                or self._paths.passed_on
+            ):
                 return
             await concurrency.sleep(self._reactor, DRAIN_POLL_SECONDS)
 
--- a/src/cairnloom/entry/requests.py
+++ b/src/cairnloom/entry/requests.py
@@ -1,5 +1,7 @@
 """The state of one caller's request, shared by the stages that handle it."""
 
+import dataclasses
+
 from twisted.internet import defer
 
 from ..protocol import callers
@@ -10,9 +12,26 @@
 from ..routing import work
 from ..runtime import logs
 
+from . import cluster_state
 from . import state
 
 
+@dataclasses.dataclass(frozen=True)
+class LostConnection:
+    """A connection to an endpoint that was lost during an attempt.
+
+    ``has_begun_answer`` is set if the caller has received a part of the
+    answer. ``event_count`` is the number of events that the attempt received.
+    It was sent at ``sent_at``, and the connection was lost at ``at``.
+    """
+
+    instance: instances.Instance
+    has_begun_answer: bool
+    sent_at: float
+    at: float
+    event_count: int = 0
+
+
 class Request:
     """A caller's request, with its limits and its progress.
 
@@ -166,28 +185,17 @@
             self.list_shared_parts(), self.host.now()
         )
 
-    def note_connection_lost(
-        self,
-        instance: instances.Instance,
-        has_begun_answer: bool,
-        sent_at: float,
-        event_count: int = 0,
-    ) -> None:
-        """Report a connection lost during this request to the quarantine.
+    def note_connection_lost(self, lost: LostConnection) -> None:
+        """Report a lost connection, unless this host's own path is broken.
 
-        ``has_begun_answer`` is set if the caller has received a part of the
-        answer. ``event_count`` is the number of events that this attempt
-        received, which was sent at ``sent_at``.
+        The quarantine and the other hosts are told only once it is known that
+        the endpoint is at fault.
         """
-        self.host.quarantine.note_broken(
-            quarantine.BrokenAttempt(
-                instance.name,
-                instance.failure_domain,
-                self.fingerprint(),
-                has_begun_answer,
-                self.host.now(),
-            )
-        )
+        cluster_state.run_task(self._judge(lost))
+
+    async def _judge(self, lost: LostConnection) -> None:
+        instance = lost.instance
+        at_fault = await self.host.paths.is_endpoint_at_fault(instance)
         shared_parts = self.list_shared_parts()
         logs.log_event(
             'connection_lost',
@@ -195,18 +203,31 @@
             endpoint=instance.name,
             software=instance.software,
             domain=instance.failure_domain,
-            answering=has_begun_answer,
-            events=event_count,
+            answering=lost.has_begun_answer,
+            events=lost.event_count,
             parts=shared_parts,
+            at_fault=at_fault,
+        )
+        if not at_fault:
+            return
+        self.host.endpoint_stats.for_instance(instance).note_failure(
+            self.host.now()
+        )
+        self.host.scheduler_client.report_failure(instance.name)
+        self.host.quarantine.note_broken(
+            quarantine.BrokenAttempt(
+                instance.name,
+                instance.failure_domain,
+                self.fingerprint(),
+                lost.has_begun_answer,
+                lost.at,
+            )
         )
         # The first event may be the last thing that an engine sends before it
         # crashes.
-        if shared_parts and event_count <= 1:
+        if shared_parts and lost.event_count <= 1:
             report = self.host.crashing_parts.note_crash(
-                instance.run_key,
-                shared_parts,
-                sent_at,
-                self.host.now(),
+                instance.run_key, shared_parts, lost.sent_at, lost.at
             )
             self.host.scheduler_client.report_crash(report)
 
--- a/src/cairnloom/entry/scheduler_client.py
+++ b/src/cairnloom/entry/scheduler_client.py
@@ -112,6 +112,14 @@
         )
         self._schedule_flush(hub, delay)
 
+    def report_failure(self, endpoint: str) -> None:
+        """Report an endpoint that is at fault to the scheduling hub."""
+        event = scheduler.PlacementEvent('', 'failed', failed=endpoint)
+        hub = self._choose_hub()
+        if hub is not None:
+            self._collect(hub).notes.append(event)
+            self._schedule_flush(hub, EVENT_DELAY_SECONDS)
+
     def report_crash(self, report: crashing_parts.CrashReport) -> None:
         """Report a request that may have crashed an engine.
 
--- a/src/cairnloom/entry/state.py
+++ b/src/cairnloom/entry/state.py
@@ -23,6 +23,7 @@
 from . import clocks
 from . import cluster_state
 from . import members
+from . import paths
 from . import settings
 from . import upstream
 
@@ -66,6 +67,9 @@
     def report_event(self, event: scheduler.PlacementEvent) -> None:
         """Report an event of a placed request to the host that placed it."""
 
+    def report_failure(self, endpoint: str) -> None:
+        """Report an endpoint that is at fault to the scheduling hub."""
+
     def report_crash(self, report: crashing_parts.CrashReport) -> None:
         """Report a request that may have crashed an engine."""
 
@@ -125,6 +129,7 @@
     engines: EngineClient
     cluster_state: cluster_state.ClusterState
     upstream: upstream.Upstream
+    paths: paths.Paths
     endpoint_stats: endpoint_stats.StatsRegistry
     endpoint_selector: selection.EndpointSelector
     exchange: exchange.LoadExchange
--- a/src/cairnloom/entry/upstream.py
+++ b/src/cairnloom/entry/upstream.py
@@ -21,6 +21,7 @@
 
 from .. import exceptions
 from ..protocol import client as http_client
+from ..protocol import sockets
 from ..routing import instances
 
 # A reachable endpoint accepts a connection within a few milliseconds.
@@ -65,6 +66,9 @@
 
     def connectionMade(self) -> None:
         super().connectionMade()
+        sockets.enable_keepalive(
+            self.transport, sockets.ENDPOINT_UNACKNOWLEDGED_MILLISECONDS
+        )
         self._on_connected(self)
 
     def send(self, request: Any) -> defer.Deferred[Any]:
@@ -122,7 +126,7 @@
     """A request to send to one endpoint.
 
     ``target`` is the path and query. ``repeatable`` is set if the request may
-    be sent again after it may have run.
+    be sent again after it may have run. ``request`` is its id, for the log.
     """
 
     instance: instances.Instance
@@ -131,6 +135,7 @@
     headers: http_headers.Headers
     body: bytes
     repeatable: bool
+    request: str = ''
 
 
 class EndpointResponse:
@@ -224,7 +229,11 @@
         self._idle: dict[Any, collections.deque[_Connection]] = {}
         self.opened_count = 0
 
-    async def open(self, call: EndpointCall) -> EndpointResponse:
+    async def open(
+        self,
+        call: EndpointCall,
+        connect_seconds: float = CONNECT_TIMEOUT_SECONDS,
+    ) -> EndpointResponse:
         """Send a request and wait for the head of its response.
 
         Raises :class:`~cairnloom.exceptions.EndpointError`, whose
@@ -232,7 +241,7 @@
         """
         connection = self._take_idle(call)
         if connection is None:
-            connection = await self._connect(call.instance)
+            connection = await self._connect(call.instance, connect_seconds)
         request = _newclient.Request(
             call.method,
             call.target,
@@ -265,6 +274,28 @@
             connection.keep_alive_seconds = idle_timeout_seconds
         return EndpointResponse(connection, response)
 
+    async def connect_idle(
+        self, instance: instances.Instance, connect_seconds: float
+    ) -> None:
+        """Make a connection and keep it for the next request.
+
+        Raises :class:`~cairnloom.exceptions.EndpointError`.
+        """
+        connection = await self._connect(instance, connect_seconds)
+        self._keep_idle(instance, connection)
+
+    def has_idle(self, call: EndpointCall) -> bool:
+        """Return whether a request would use a kept connection."""
+        connection = self._take_idle(call)
+        if connection is None:
+            return False
+        self._idle[call.instance.identity].append(connection)
+        return True
+
+    def drop_all_idle(self) -> None:
+        """Close the idle connections to all instances."""
+        self.close()
+
     def drop_idle(self, instance: instances.Instance) -> None:
         """Close the idle connections to an instance that was removed."""
         for connection in self._idle.pop(instance.identity, ()):
@@ -313,7 +344,9 @@
             idle_timeout_seconds = DEFAULT_KEEP_ALIVE_SECONDS
         return now - connection.idle_since < idle_timeout_seconds * reuse_share
 
-    async def _connect(self, instance: instances.Instance) -> _Connection:
+    async def _connect(
+        self, instance: instances.Instance, connect_seconds: float
+    ) -> _Connection:
         self.opened_count += 1
         pending_connection: defer.Deferred[_Connection] = defer.Deferred(
             lambda _: factory.cancel(connector)
@@ -326,7 +359,7 @@
             instance.address,
             instance.port,
             factory,
-            timeout=CONNECT_TIMEOUT_SECONDS,
+            timeout=connect_seconds,
         )
         try:
             return await pending_connection
--- a/src/cairnloom/exceptions.py
+++ b/src/cairnloom/exceptions.py
@@ -50,6 +50,8 @@
     ``may_have_run`` is false only if the endpoint certainly has not started
     the request. ``status`` is the HTTP status to answer the caller with.
     ``connection_lost`` is true if the connection was lost, as in a crash.
+    ``own_path`` is true if the endpoint may be sound and only the path from
+    this host to it broken.
     """
 
     def __init__(
@@ -58,11 +60,13 @@
         may_have_run: bool,
         status: int = 502,
         connection_lost: bool = False,
+        own_path: bool = False,
     ) -> None:
         super().__init__(reason)
         self.may_have_run = may_have_run
         self.status = status
         self.connection_lost = connection_lost
+        self.own_path = own_path
 
 
 class CoordinationError(CairnloomError):
--- a/src/cairnloom/platform/engines.py
+++ b/src/cairnloom/platform/engines.py
@@ -7,6 +7,7 @@
 import dataclasses
 from typing import Any
 from typing import Callable
+from typing import Protocol
 from typing import TypeVar
 
 import orjson
@@ -44,16 +45,32 @@
     born: int = 0
 
 
+class ControlPaths(Protocol):
+    """The ways to engines, which may lead through other hosts."""
+
+    async def exchange(
+        self,
+        instance: instances.Instance,
+        method: str,
+        target: str,
+        headers: http_headers.Headers,
+        timeout: float,
+    ) -> client.Reply:
+        """Send a call that may be repeated, and read its reply."""
+
+
 class EngineControlClient:
     """Client of the control interface of engines.
 
     ``host`` is this host's name, given as the holder of the lease under
-    which orders are sent.
+    which orders are sent. Orders go straight to the engine. Other calls go by
+    ``paths``, if set.
     """
 
     def __init__(self, http: client.HttpClient, host: str) -> None:
         self._http = http
         self._host = host
+        self.paths: ControlPaths | None = None
 
     async def report(self, instance: instances.Instance) -> EngineReport:
         """Read an engine's report.
@@ -121,6 +138,11 @@
         headers = http_headers.Headers(
             {names.EXPECTED_INSTANCE: [instance.name.encode()]}
         )
+        if self.paths is not None and method != 'POST':
+            headers.setRawHeaders(b'Host', [instance.netloc.encode()])
+            return await self.paths.exchange(
+                instance, method, path, headers, TIMEOUT_SECONDS
+            )
         try:
             return await self._http.exchange(
                 method, url, body, TIMEOUT_SECONDS, headers
--- a/src/cairnloom/protocol/server.py
+++ b/src/cairnloom/protocol/server.py
@@ -8,11 +8,13 @@
 from typing import Any
 from typing import Awaitable
 from typing import Callable
+from typing import Protocol
 
 import eliot
 from twisted.internet import defer
 from twisted.python import failure
 from twisted.web import http
+from twisted.web import http_headers
 from twisted.web import resource
 from twisted.web import server
 
@@ -42,7 +44,35 @@
     content_type: str = 'application/json'
 
 
-Handler = Callable[[JsonRequest], Awaitable[JsonResponse]]
+class BodySource(Protocol):
+    """The source of a body that is sent as it arrives."""
+
+    async def read(self, on_data: Callable[[bytes], None]) -> bool:
+        """Pass the body on in pieces; return whether it is complete."""
+
+    def drop(self) -> None:
+        """Give the body up before it is read."""
+
+    def pause(self) -> None:
+        """Stop reading until :meth:`resume` is called."""
+
+    def resume(self) -> None:
+        """Continue reading."""
+
+
+@dataclasses.dataclass(frozen=True)
+class StreamedResponse:
+    """The answer of a handler whose body is sent as it arrives.
+
+    If the body turns out to be incomplete, the connection is closed.
+    """
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    source: BodySource
+
+
+Handler = Callable[[JsonRequest], Awaitable[JsonResponse | StreamedResponse]]
 
 
 class JsonResource(resource.Resource):
@@ -66,7 +96,12 @@
         disconnect_deferred = request.notifyFinish()
         disconnect_deferred.addErrback(lambda _: running_handler.cancel())
         running_handler.addErrback(_build_fault_response)
-        running_handler.addCallback(lambda response: _write(request, response))
+        running_handler.addCallback(
+            lambda response: _respond(request, response)
+        )
+        running_handler.addErrback(
+            lambda reason: reason.trap(defer.CancelledError) and None
+        )
         return server.NOT_DONE_YET
 
     def _find_handler(self, path: str) -> Handler | None:
@@ -80,7 +115,7 @@
 
 async def _run_handler(
     handler: Handler, json_request: JsonRequest
-) -> JsonResponse:
+) -> JsonResponse | StreamedResponse:
     try:
         return await handler(json_request)
     except exceptions.ProtocolError as fault:
@@ -114,6 +149,48 @@
     return JsonRequest(request.method.decode(), path, body, query)
 
 
+def _respond(
+    request: server.Request, response: JsonResponse | StreamedResponse
+) -> Any:
+    match response:
+        case JsonResponse():
+            _write(request, response)
+        case StreamedResponse():
+            return defer.Deferred.fromCoroutine(_stream(request, response))
+    return None
+
+
+async def _stream(request: server.Request, response: StreamedResponse) -> None:
+    if getattr(request, '_disconnected', False):
+        response.source.drop()
+        return
+    request.setResponseCode(response.status)
+    request.responseHeaders = http_headers.Headers()
+    request.defaultContentType = None
+    for name, value in response.headers:
+        request.responseHeaders.addRawHeader(name, value)
+    request.write(b'')
+    request.registerProducer(_Producer(response.source), True)
+    complete = await response.source.read(request.write)
+    request.unregisterProducer()
+    if complete:
+        request.finish()
+    else:
+        transport: Any = request.channel.transport
+        transport.abortConnection()
+
+
+class _Producer:
+    """Passes flow control on to the source of a body."""
+
+    def __init__(self, source: BodySource) -> None:
+        self.pauseProducing = source.pause
+        self.resumeProducing = source.resume
+
+    def stopProducing(self) -> None:
+        """Do nothing; the handler is cancelled when the peer has left."""
+
+
 def _write(request: server.Request, response: JsonResponse) -> None:
     if getattr(request, '_disconnected', False):
         return
--- a/src/cairnloom/protocol/sockets.py
+++ b/src/cairnloom/protocol/sockets.py
@@ -11,6 +11,10 @@
 
 # A connection counts as dead if sent data is not acknowledged in this time.
 UNACKNOWLEDGED_MILLISECONDS = 1500
+# The same for endpoints. On Linux it also decides when keep-alive probes give
+# up, so it exceeds PROBE_AFTER_SECONDS by the longest silence that a sound
+# endpoint may show.
+ENDPOINT_UNACKNOWLEDGED_MILLISECONDS = 2500
 # Seconds until an idle connection is probed, and between further probes.
 PROBE_AFTER_SECONDS = 1
 PROBE_COUNT = 2
@@ -20,15 +24,13 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_SECONDS),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_AFTER_SECONDS),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT),
-    (
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        UNACKNOWLEDGED_MILLISECONDS,
-    ),
 )
 
 
-def enable_keepalive(transport: Any) -> None:
+def enable_keepalive(
+    transport: Any,
+    unacknowledged_milliseconds: int = UNACKNOWLEDGED_MILLISECONDS,
+) -> None:
     """Let the kernel close a TCP connection whose peer does not respond.
 
     The constants of this module set how soon that happens.
@@ -39,6 +41,11 @@
     try:
         for level, option, value in _OPTIONS:
             tcp_socket.setsockopt(level, option, value)
+        tcp_socket.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            unacknowledged_milliseconds,
+        )
     except OSError as fault:
         eliot.log_message(
             message_type='socket_option_refused', reason=str(fault)
