Prove that a request reaches its endpoint once whatever way it takes

Tests: a state machine of five hosts' paths with cuts, kills, restarts, older builds, calls lost before or after their effect, endpoints that go down and rows that are gone; three faulty implementations are caught. Hosts over sockets: events as they arrive, a caller that leaves, headers, billing, load of a domain that is cut off, a lost or leaving or older other host, all hosts cut off, a crash through other hosts.

Found while writing them: - a host without the endpoint's row, or that did not answer, counted as one that does not reach it, so a sound endpoint could be blamed; - if all other hosts failed to answer, the endpoint was blamed; - a host that is cut off reported no crash of an engine, also a real one; - the stand-in accepted connections while it was crashed.

--- a/src/cairnloom/entry/messages.py
+++ b/src/cairnloom/entry/messages.py
@@ -166,11 +166,18 @@
 class ReachReply:
     """Whether the host can connect to the endpoint.
 
-    ``cut_off`` is set if it seems to reach no endpoint at all.
+    ``cut_off`` is set if it seems to reach no endpoint at all, and ``listed``
+    if it knows the endpoint.
     """
 
     reached: bool
     cut_off: bool
+    listed: bool
+
+    @property
+    def informed(self) -> bool:
+        """Whether the host can tell if the endpoint is at fault."""
+        return self.listed and not self.cut_off
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/entry/paths.py
+++ b/src/cairnloom/entry/paths.py
@@ -38,8 +38,8 @@
 # The same for another host, which connects on this host's behalf.
 OTHER_HOST_CONNECT_SECONDS = 0.1
 ASK_SECONDS = 0.25
-# So many hosts are asked at the same time whether they reach an endpoint. If
-# none of them does, the endpoint is at fault.
+# If so many hosts, which are not cut off, do not reach an endpoint either, the
+# endpoint is at fault. They are asked at the same time.
 HOSTS_PER_QUESTION = 3
 # A request is sent through another host if the first ones can't take it.
 MAX_HOSTS_PER_REQUEST = 4
@@ -119,7 +119,7 @@
             return await self._open_directly(call)
         except exceptions.EndpointError as fault:
             is_connected = fault.may_have_run or not fault.connection_lost
-            if is_connected or not self._list_hosts():
+            if is_connected or self._is_alone():
                 raise
             if not await self._is_own_path(call.instance, fault):
                 raise
@@ -159,10 +159,8 @@
         """Return whether a lost connection is the fault of its endpoint.
 
         It is not if this host can't connect to the endpoint any more and
-        another host can.
+        another host can, or if nobody can tell.
         """
-        if instance.identity in self._broken:
-            return False
         now = self._reactor.seconds()
         check = self._checks.get(instance.identity)
         if check is None or now - check.started_at >= CHECK_VALID_SECONDS:
@@ -199,7 +197,7 @@
         self, call: upstream.EndpointCall
     ) -> upstream.EndpointResponse:
         connect_seconds = upstream.CONNECT_TIMEOUT_SECONDS
-        if self._list_hosts():
+        if not self._is_alone():
             connect_seconds = CONNECT_SECONDS
         connects = not self._upstream.has_idle(call)
         response = await self._upstream.open(call, connect_seconds)
@@ -221,7 +219,7 @@
         if any(answer.reached for answer in answers):
             self._note_broken(instance, fault)
             return True
-        if all(answer.cut_off for answer in answers):
+        if not any(answer.informed for answer in answers):
             raise exceptions.EndpointError(
                 str(fault), False, connection_lost=True, own_path=True
             ) from fault
@@ -263,14 +261,22 @@
         self, instance: instances.Instance, check: '_Check'
     ) -> None:
         at_fault = True
-        try:
-            connect_fault = await self._connect(instance, CONNECT_SECONDS)
-            if connect_fault is not None and self._list_hosts():
-                at_fault = not await self._is_own_path(instance, connect_fault)
-        except exceptions.EndpointError:
-            at_fault = False
+        was_broken = self.is_broken(instance)
+        fault = await self._connect(instance, CONNECT_SECONDS)
+        if fault is not None and not self._is_alone():
+            answers = await self._ask_hosts(instance)
+            if any(answer.reached for answer in answers):
+                at_fault = False
+                if not was_broken:
+                    self._note_broken(instance, fault)
+            else:
+                at_fault = any(answer.informed for answer in answers)
         check.finish(at_fault)
 
+    def _is_alone(self) -> bool:
+        """Return whether no other host runs."""
+        return not self._members.candidates(self._reactor.seconds())
+
     def _list_hosts(self) -> list[members.HostRow]:
         """Return the hosts through which requests may go, in random order.
 
@@ -320,11 +326,19 @@
                 self._pause(host, HOST_PAUSE_SECONDS)
             answers.append(answer)
 
-        # Hosts that are cut off themselves know nothing of the endpoint.
-        while not any(not answer.cut_off for answer in answers):
-            hosts = self._list_hosts()[:HOSTS_PER_QUESTION]
+        asked_owners: set[str] = set()
+        while not any(answer.reached for answer in answers):
+            missing_answers = HOSTS_PER_QUESTION - sum(
+                answer.informed for answer in answers
+            )
+            hosts = [
+                host
+                for host in self._list_hosts()
+                if host.owner not in asked_owners
+            ][:missing_answers]
             if not hosts:
                 break
+            asked_owners.update(host.owner for host in hosts)
             await concurrency.gather_or_raise([ask(host) for host in hosts])
         return answers
 
@@ -407,7 +421,9 @@
         if instance is not None and not self.is_cut_off():
             fault = await self._connect(instance, OTHER_HOST_CONNECT_SECONDS)
             reached = fault is None
-        reply = messages.ReachReply(reached, self.is_cut_off())
+        reply = messages.ReachReply(
+            reached, self.is_cut_off(), instance is not None
+        )
         return server.JsonResponse(codec.encode(reply))
 
     async def _pass_on(
--- a/src/cairnloom/standins/atlas.py
+++ b/src/cairnloom/standins/atlas.py
@@ -422,12 +422,33 @@
         self._endpoint = endpoint
         self._endpoints = endpoints
         self._channels: list[Any] = []
-        self._restart_at = 0.0
+        self._port: Any = None
+        self._closed = False
+
+    def listen(self) -> int:
+        """Listen on the endpoint's port, or on a free one if it has none."""
+        if self._closed:
+            return self._endpoint.port
+        self._port = self.reactor.listenTCP(
+            self._endpoint.port, self, interface='127.0.0.1'
+        )
+        port: int = self._port.getHost().port
+        self._endpoint.port = port
+        return port
+
+    def close(self) -> None:
+        """Stop for good."""
+        self._closed = True
+        self.stop_listening()
+
+    def stop_listening(self) -> None:
+        """Refuse new connections."""
+        if self._port is not None:
+            self._port.stopListening()
+            self._port = None
 
     def buildProtocol(self, addr: Any) -> Any:
-        """Accept a connection, unless the endpoint has crashed."""
-        if self.reactor.seconds() < self._restart_at:
-            return None
+        """Accept a connection."""
         channel = super().buildProtocol(addr)
         self._channels.append(channel)
         return channel
@@ -435,7 +456,9 @@
     def crash(self) -> None:
         """Reset all connections, and refuse new ones for a while."""
         self._endpoint.crashes += 1
-        self._restart_at = self.reactor.seconds() + RESTART_SECONDS
+        if self._port is not None:
+            self.stop_listening()
+            self.reactor.callLater(RESTART_SECONDS, self.listen)
         channels, self._channels = self._channels, []
         for channel in channels:
             if channel.transport is not None:
--- a/tests/atlas_deployment.py
+++ b/tests/atlas_deployment.py
@@ -141,6 +141,7 @@
         self._by_address = {}
         self._ports = []
         self._endpoint_ports = set()
+        self._endpoint_servers = {}
         self.links = []
         self._ids = 0
         self.programs = []
@@ -159,8 +160,8 @@
 
     def _open_endpoint(self, endpoint):
         server = atlas.EndpointServer(reactor, endpoint, self._by_address)
-        endpoint.port = self._listen(server)
-        self._endpoint_ports.add(endpoint.port)
+        self._endpoint_servers[endpoint.name] = server
+        self._endpoint_ports.add(server.listen())
         self._by_address['127.0.0.1:%d' % endpoint.port] = endpoint
         self.store.put('servers', endpoint.name, endpoint.row())
 
@@ -174,6 +175,10 @@
         self.endpoints[endpoint.name] = endpoint
         run_in_reactor(self._open_endpoint, endpoint)
 
+    def stop_listening(self, name):
+        """Have an endpoint refuse new connections, for all hosts."""
+        run_in_reactor(self._endpoint_servers[name].stop_listening)
+
     def remove_endpoint(self, name):
         """Remove the row of an endpoint, which goes on."""
         run_in_reactor(self.store.put, 'servers', name, None)
@@ -262,6 +267,8 @@
             run_in_reactor(host_program.kill)
         for port in self._ports:
             run_in_reactor(port.stopListening)
+        for server in self._endpoint_servers.values():
+            run_in_reactor(server.close)
 
     def new_id(self):
         """Return a request id that has not been used."""
--- /dev/null
+++ b/tests/test_path_choice.py
@@ -0,0 +1,314 @@
+"""A request reaches its endpoint at most once, whatever way it takes.
+
+A state machine runs the paths of several hosts, which are cut off, killed,
+restarted or of an older build, with calls between them that are lost before or
+after they had an effect, and endpoints that go down and leave.
+"""
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+import state_machines
+from twisted.internet import defer
+from twisted.web import http_headers
+
+from cairnloom.entry import cluster_state
+from cairnloom.entry import members
+from cairnloom.entry import paths
+from cairnloom.entry import upstream
+from cairnloom import exceptions
+from cairnloom.protocol import codec
+from cairnloom.protocol import server
+from cairnloom.routing import instances
+
+HOST_COUNT = 5
+ENDPOINT_COUNT = 3
+
+
+class FakeResponse:
+    """The response of an endpoint, or of a host that passes one on."""
+
+    def __init__(self, status, headers=(), body=b''):
+        self.status = status
+        self.headers = http_headers.Headers()
+        for name, value in headers:
+            self.headers.addRawHeader(name, value)
+        self.body = body
+        self.pause = self.resume = lambda: None
+
+    async def read(self, on_data):
+        return True
+
+    async def read_whole(self):
+        return self.body, True
+
+
+def lose_connection(may_have_run):
+    return exceptions.EndpointError('lost', may_have_run, connection_lost=True)
+
+
+class World:
+    """The endpoints, and the network between the hosts."""
+
+    paths_class = paths.Paths
+
+    def __init__(self):
+        self.now = 100.0
+        self.endpoints = [
+            instances.Instance(
+                'e%d' % number, 'desk', '127.0.0.1', 1000 + number, 'a'
+            )
+            for number in range(ENDPOINT_COUNT)
+        ]
+        self.down = set()
+        self.received = []
+        self.faults = []
+        self.hosts = [Host(self, number) for number in range(HOST_COUNT)]
+
+    def seconds(self):
+        return self.now
+
+    def take_fault(self):
+        return self.faults.pop() if self.faults else ''
+
+
+class Host:
+    """A host with its real paths; it is also its upstream, members, peers."""
+
+    def __init__(self, world, number, older_build=False):
+        self.world = world
+        self.number = number
+        self.older_build = older_build
+        self.alive = True
+        self.cut = False
+        self.generation = id(self)
+        self.own_row = members.HostRow(
+            'host-%d' % number,
+            'owner-%d-%d' % (number, self.generation),
+            '127.0.0.1',
+            number,
+            'ab'[number % 2],
+        )
+        self.cluster = cluster_state.ClusterState()
+        for version, endpoint in enumerate(world.endpoints):
+            self.cluster.directory.apply(
+                instances.InstanceChange(endpoint.name, version, endpoint), 0.0
+            )
+        self.paths = world.paths_class(
+            world, self, self.cluster, self, self, lambda: False
+        )
+        self.depth = 0
+
+    def candidates(self, now):
+        return [host.own_row for host in self.world.hosts if host is not self]
+
+    async def call(self, host, path, message, reply_type, timeout):
+        target = self.world.hosts[host.port]
+        fault = self.world.take_fault()
+        if fault or not target.alive or target.older_build:
+            raise exceptions.PlatformError('no answer')
+        request = server.JsonRequest('POST', path, codec.encode(message), {})
+        response = await target.paths.handlers()[path](request)
+        return codec.decode(reply_type, response.body)
+
+    def has_idle(self, call):
+        return False
+
+    def drop_all_idle(self):
+        pass
+
+    async def connect_idle(self, instance, connect_seconds):
+        if self.cut or instance.name in self.world.down:
+            raise lose_connection(False)
+
+    async def open(self, call, connect_seconds=0.5):
+        if call.instance.name.startswith('host:'):
+            return await self.open_host(call)
+        await self.connect_idle(call.instance, connect_seconds)
+        self.world.received.append((call.instance.name, call.request))
+        if self.world.take_fault():
+            raise lose_connection(True)
+        return FakeResponse(200)
+
+    async def open_host(self, call):
+        target = self.world.hosts[call.instance.port]
+        if not target.alive:
+            raise lose_connection(False)
+        fault = self.world.take_fault()
+        if fault == 'before':
+            raise lose_connection(True)
+        if target.older_build:
+            return FakeResponse(404, body=b'{"error":"no such path"}')
+        request = server.JsonRequest('POST', '', call.body, {})
+        self.world.depth = getattr(self.world, 'depth', 0) + 1
+        assert self.world.depth == 1, 'passed on twice'
+        try:
+            response = await target.paths._pass_on(request)
+        finally:
+            self.world.depth -= 1
+        if fault == 'after':
+            raise lose_connection(True)
+        if isinstance(response, server.StreamedResponse):
+            return FakeResponse(response.status, response.headers)
+        return FakeResponse(response.status, body=response.body)
+
+
+def send(world, host, endpoint, request):
+    """Send a request; return its response, or the error."""
+    call = upstream.EndpointCall(
+        endpoint, b'POST', b'/', http_headers.Headers(), b'', False, request
+    )
+    task = defer.Deferred.fromCoroutine(host.paths.open(call))
+    results = []
+    task.addBoth(results.append)
+    (result,) = results
+    if isinstance(result, FakeResponse):
+        return result
+    result.trap(exceptions.EndpointError)
+    return result.value
+
+
+class PathMachine(stateful.RuleBasedStateMachine):
+    """Requests are sent at any host, whatever is broken."""
+
+    world_class = World
+
+    def __init__(self):
+        super().__init__()
+        self.world = self.world_class()
+        self.request_count = 0
+
+    @stateful.rule(
+        host=state_machines.INDEX,
+        endpoint=state_machines.INDEX,
+        faults=st.lists(st.sampled_from(['', 'before', 'after']), max_size=6),
+    )
+    def send(self, host, endpoint, faults):
+        world = self.world
+        sender = world.hosts[host % HOST_COUNT]
+        if not sender.alive:
+            return
+        target = world.endpoints[endpoint % ENDPOINT_COUNT]
+        self.request_count += 1
+        request = 'r%d' % self.request_count
+        world.faults = list(faults)
+        result = send(world, sender, target, request)
+        world.faults = []
+        run_count = world.received.count((target.name, request))
+        assert run_count <= 1, 'sent twice'
+        if isinstance(result, FakeResponse):
+            assert run_count == 1, 'answered without a run'
+            return
+        assert result.may_have_run or not run_count, 'run, but denied'
+        if any(faults):
+            return
+        is_sound = target.name not in world.down
+        if not sender.cut:
+            assert not is_sound or result.own_path, 'not served'
+        # A host that is cut off knows it once two of its requests have shown
+        # it. Until then it may mislead others.
+        others_are_aware = all(
+            not other.cut or other.paths.is_cut_off()
+            for other in world.hosts
+            if other is not sender
+        )
+        if is_sound and others_are_aware:
+            assert result.own_path, 'sound endpoint blamed'
+
+    @stateful.rule(number=state_machines.INDEX, cut=st.booleans())
+    def cut(self, number, cut):
+        self.world.hosts[number % HOST_COUNT].cut = cut
+
+    @stateful.rule(number=state_machines.INDEX, older_build=st.booleans())
+    def restart(self, number, older_build):
+        index = number % HOST_COUNT
+        self.world.hosts[index].alive = False
+        self.world.hosts[index] = Host(self.world, index, older_build)
+
+    @stateful.rule(number=state_machines.INDEX)
+    def kill(self, number):
+        self.world.hosts[number % HOST_COUNT].alive = False
+
+    @stateful.rule(number=state_machines.INDEX, down=st.booleans())
+    def set_endpoint_down(self, number, down):
+        name = self.world.endpoints[number % ENDPOINT_COUNT].name
+        (self.world.down.add if down else self.world.down.discard)(name)
+
+    @stateful.rule(host=state_machines.INDEX, endpoint=state_machines.INDEX)
+    def remove_row(self, host, endpoint):
+        target = self.world.endpoints[endpoint % ENDPOINT_COUNT]
+        directory = self.world.hosts[host % HOST_COUNT].cluster.directory
+        change = instances.InstanceChange(target.name, 100, None)
+        directory.apply(change, self.world.now)
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 1.0, 3.0, 40.0]))
+    def pass_time(self, seconds):
+        self.world.now += seconds
+        for host in self.world.hosts:
+            defer.Deferred.fromCoroutine(host.paths.probe())
+
+
+class RetryingPaths(paths.Paths):
+    """Tries another host although the first one may have sent it."""
+
+    async def _open_through(self, host, call):
+        try:
+            return await super()._open_through(host, call)
+        except exceptions.EndpointError as fault:
+            raise exceptions.EndpointError(
+                str(fault), False, own_path=True
+            ) from fault
+
+
+class ChainingPaths(paths.Paths):
+    """Passes requests on over paths that may lead through a third host."""
+
+    async def _pass_on(self, call):
+        direct, self._upstream = self._upstream, _ChainedUpstream(self)
+        try:
+            return await super()._pass_on(call)
+        finally:
+            self._upstream = direct
+
+
+class _ChainedUpstream:
+    def __init__(self, own_paths):
+        self._paths = own_paths
+        self._upstream = own_paths._upstream
+
+    async def open(self, call, connect_seconds):
+        chained, self._paths._upstream = self._paths._upstream, self._upstream
+        try:
+            return await self._paths.open(call)
+        finally:
+            self._paths._upstream = chained
+
+
+class BlamingPaths(paths.Paths):
+    """Blames the endpoint, whatever other hosts say."""
+
+    async def _is_own_path(self, instance, fault):
+        return False
+
+
+def test_request_reaches_its_endpoint_at_most_once():
+    state_machines.run(PathMachine, 400, 40)
+
+
+@pytest.mark.parametrize(
+    'faulty_class, failure',
+    [
+        (RetryingPaths, 'sent twice|run, but denied'),
+        (ChainingPaths, 'passed on twice'),
+        (BlamingPaths, 'sound endpoint blamed'),
+    ],
+)
+def test_faulty_paths_are_caught(faulty_class, failure):
+    class FaultyWorld(World):
+        paths_class = faulty_class
+
+    class FaultyMachine(PathMachine):
+        world_class = FaultyWorld
+
+    found = state_machines.expect_failure(FaultyMachine)
+    assert any(text in found for text in failure.split('|'))
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -5,11 +5,14 @@
 """
 
 import socket
+import threading
 import time
 
 import atlas_deployment
 import pytest
 
+from cairnloom.entry import messages
+from cairnloom.entry import paths
 from cairnloom.standins import atlas
 from cairnloom.standins import links
 
@@ -132,3 +135,211 @@
         socket.IPPROTO_TCP, socket.TCP_KEEPIDLE
     )
     assert user_timeout / 1000 - probe_after >= 1.5
+
+
+@pytest.mark.parametrize('mode', MODES)
+def test_own_path_is_used_again_once_it_works(deploy, mode):
+    deployment = deploy(*make_endpoints())
+    host = find_other_host(deployment)
+    cut_and_wait(deployment, host, mode)
+    for number in range(4):
+        deployment.call('/safe/%d' % number, host=host)
+    own_paths = deployment.programs[host]._paths
+    atlas_deployment.wait_for(own_paths.is_cut_off)
+    deployment.heal(host)
+    atlas_deployment.wait_for(lambda: not own_paths._broken, 3.0)
+    others = [
+        program
+        for program in deployment.programs
+        if program is not deployment.programs[host]
+    ]
+    for program in others:
+        program._paths._pass_on = None
+    assert deployment.call('/safe/after', host=host).status == 200
+
+
+def test_hosts_of_a_domain_that_is_cut_off_spread_their_load(deploy):
+    deployment = deploy(
+        *make_endpoints(), hosts=6, domains=('a', 'a', 'b', 'b', 'c', 'c')
+    )
+    counts = [0] * 6
+    for number, program in enumerate(deployment.programs):
+        count_calls(program, counts, number)
+    for host in (0, 1):
+        deployment.cut(host, 'reset')
+    for number in range(60):
+        for host in (0, 1):
+            answer = deployment.call('/safe/%d' % number, host=host)
+            assert answer.status == 200
+    assert counts[:2] == [0, 0]
+    assert sum(counts) > 100
+    assert min(counts[2:]) > sum(counts) / 12
+
+
+def count_calls(program, counts, number):
+    """Count the requests of other hosts that a host passes on."""
+    open_directly = program._paths._upstream.open
+
+    def open_and_count(call, connect_seconds=0.5):
+        if connect_seconds == paths.OTHER_HOST_CONNECT_SECONDS:
+            counts[number] += not call.instance.name.startswith('host:')
+        return open_directly(call, connect_seconds)
+
+    program._paths._upstream.open = open_and_count
+
+
+def test_hosts_that_are_all_cut_off_refuse_at_once(deploy):
+    deployment = deploy(*make_endpoints())
+    for host in range(4):
+        deployment.cut(host, 'reset')
+    for number in range(3):
+        started_at = time.monotonic()
+        answer = deployment.call('/once/%d' % number, 'POST', b'x')
+        assert answer.status == 503
+        assert time.monotonic() - started_at < 0.5
+    assert not any(
+        endpoint.received for endpoint in deployment.endpoints.values()
+    )
+
+
+def test_events_are_passed_on_as_they_arrive(deploy):
+    engine = atlas.Endpoint('e1', 'model', role='decode', event_seconds=0.4)
+    deployment = deploy(engine)
+    host = find_other_host(deployment)
+    deployment.cut(host, 'reset')
+    started_at = time.monotonic()
+    with deployment.hold_stream(host=host):
+        assert time.monotonic() - started_at < 0.4
+        assert engine.received[0].events == 1
+    atlas_deployment.wait_for(lambda: engine.received[0].gone, 0.5)
+
+
+def test_request_that_is_passed_on_bears_what_its_host_has_set(deploy):
+    endpoint = atlas.Endpoint('d1', 'desk')
+    deployment = deploy(endpoint)
+    billed = []
+    for number, program in enumerate(deployment.programs):
+        program._host.count_usage = lambda team, _, number=number: (
+            billed.append((number, team))
+        )
+    host = find_other_host(deployment)
+    deployment.cut(host, 'reset')
+    answer = deployment.call(
+        '/safe/x?a=%20', 'POST', b'body', host=host, X_Own='kept'
+    )
+    assert (answer.status, answer.body) == (200, b'd1 body')
+    assert answer.headers['server-signature'] == 'd1'
+    assert not {'x-passed-on', 'server', 'date'} & set(answer.headers)
+    (received,) = endpoint.received
+    assert (received.method, received.target) == ('POST', '/safe/x?a=%20')
+    assert received.headers['tenant'] == 'team-1'
+    assert received.headers['x-own'] == 'kept'
+    assert received.headers['expect-instance'] == 'd1'
+    assert int(received.headers['deadline-ms']) <= 2000
+    assert 'authorization' not in received.headers
+    assert billed == [(host, 'team-1')]
+
+
+def test_request_is_not_repeated_if_the_other_host_is_lost(deploy):
+    endpoint = atlas.Endpoint('d1', 'desk')
+    endpoint.planned_faults.append('hang')
+    deployment = deploy(endpoint)
+    host = find_other_host(deployment)
+    deployment.cut(host, 'reset')
+    answers = []
+    thread = threading.Thread(
+        target=lambda: answers.append(
+            deployment.call('/once/x', 'POST', b'x', host=host)
+        )
+    )
+    thread.start()
+    atlas_deployment.wait_for(lambda: endpoint.received)
+    for number, program in enumerate(deployment.programs):
+        if number != host:
+            atlas_deployment.run_in_reactor(
+                abort_internal_connections, program
+            )
+    thread.join()
+    assert answers[0].status == 502
+    assert len(endpoint.received) == 1
+
+
+def abort_internal_connections(program):
+    """Abort the connections that other hosts have made to a host."""
+    port = program.address('internal')[1]
+    for reader in atlas_deployment.reactor.getReaders():
+        if hasattr(reader, 'abortConnection') and reader.connected:
+            if reader.getHost().port == port:
+                reader.abortConnection()
+
+
+def test_host_that_leaves_completes_what_it_passes_on(deploy):
+    engine = atlas.Endpoint('e1', 'model', role='decode', event_seconds=0.8)
+    route = atlas_deployment.make_route(
+        '/chat/', 'streaming', 'model', TimeoutMs=8000, TargetLatencyMs=2000
+    )
+    deployment = deploy(engine, hosts=2, Routes=[route])
+    host = find_other_host(deployment)
+    deployment.cut(host, 'reset')
+    answers = []
+    thread = threading.Thread(
+        target=lambda: answers.append(
+            deployment.ask_model(host=host, Deadline_Ms='8000')
+        )
+    )
+    thread.start()
+    atlas_deployment.wait_for(lambda: engine.received)
+    other = deployment.programs[1 - host]
+    atlas_deployment.await_in_reactor(other.stop)
+    thread.join()
+    assert (answers[0].status, answers[0].whole) == (200, True)
+
+
+def test_crash_is_reported_by_a_host_that_is_cut_off(deploy):
+    """Its requests still crash engines, through other hosts."""
+    engines = [
+        atlas.Endpoint(
+            'e%d' % number,
+            'model',
+            role='decode',
+            deadly_parts=frozenset({'deadly'}),
+        )
+        for number in range(4)
+    ]
+    deployment = deploy(*engines)
+    host = find_other_host(deployment)
+    deployment.cut(host, 'reset')
+    for number in range(6):
+        parts = 'deadly:100,own%d:50' % number
+        deployment.ask_model('/chat/%d' % number, parts, host=host)
+        time.sleep(0.4)
+    assert sum(engine.crashes for engine in engines) <= 3
+
+
+def test_host_of_an_older_build_is_passed_over(deploy):
+    deployment = deploy(*make_endpoints())
+    host = find_other_host(deployment)
+    others = [
+        program
+        for number, program in enumerate(deployment.programs)
+        if number != host
+    ]
+    for program in others[:2]:
+        resource = program._ports['internal'].factory.resource
+        for path in (messages.REACH, messages.PASS_ON):
+            del resource._handlers[path]
+    deployment.cut(host, 'refused')
+    for number in range(6):
+        answer = deployment.call('/once/%d' % number, 'POST', b'x', host=host)
+        assert answer.status == 200
+
+
+def test_endpoint_that_is_down_for_all_hosts_is_avoided(deploy):
+    endpoints = [atlas.Endpoint('d%d' % number, 'desk') for number in (1, 2)]
+    deployment = deploy(*endpoints)
+    deployment.stop_listening('d1')
+    for number in range(4):
+        assert deployment.call('/safe/%d' % number).status == 200
+    program = deployment.programs[0]
+    assert not program._paths._broken
+    assert program._host.endpoint_stats.for_name('d1').failures
