--- a/src/cairnloom/entry/members.py
+++ b/src/cairnloom/entry/members.py
@@ -187,6 +187,10 @@
         """Return whether another host is in the list of running hosts."""
         return host in self._records
 
+    def is_alone(self) -> bool:
+        """Return whether no other host runs, apart from those that leave."""
+        return all(record.row.leaving for record in self._records.values())
+
     def count(self) -> int:
         """Return how many hosts run and are not leaving."""
         return max(1, len(self._rank_hosts()))
--- a/src/cairnloom/entry/paths.py
+++ b/src/cairnloom/entry/paths.py
@@ -92,6 +92,10 @@
         """Return whether this host does not reach an endpoint by itself."""
         return instance.identity in self._broken or self.is_cut_off()
 
+    def list_broken(self) -> list[str]:
+        """Return the names of endpoints that only other hosts reach."""
+        return sorted(instance.name for instance in self._broken.values())
+
     def is_cut_off(self) -> bool:
         """Return whether this host seems to reach no endpoint by itself."""
         return (
@@ -119,7 +123,7 @@
             return await self._open_directly(call)
         except exceptions.EndpointError as fault:
             is_connected = fault.may_have_run or not fault.connection_lost
-            if is_connected or self._is_alone():
+            if is_connected or self._members.is_alone():
                 raise
             if not await self._is_own_path(call.instance, fault):
                 raise
@@ -197,7 +201,7 @@
         self, call: upstream.EndpointCall
     ) -> upstream.EndpointResponse:
         connect_seconds = upstream.CONNECT_TIMEOUT_SECONDS
-        if not self._is_alone():
+        if not self._members.is_alone():
             connect_seconds = CONNECT_SECONDS
         connects = not self._upstream.has_idle(call)
         response = await self._upstream.open(call, connect_seconds)
@@ -263,7 +267,7 @@
         at_fault = True
         was_broken = self.is_broken(instance)
         fault = await self._connect(instance, CONNECT_SECONDS)
-        if fault is not None and not self._is_alone():
+        if fault is not None and not self._members.is_alone():
             answers = await self._ask_hosts(instance)
             if any(answer.reached for answer in answers):
                 at_fault = False
@@ -273,10 +277,6 @@
                 at_fault = any(answer.informed for answer in answers)
         check.finish(at_fault)
 
-    def _is_alone(self) -> bool:
-        """Return whether no other host runs."""
-        return not self._members.candidates(self._reactor.seconds())
-
     def _list_hosts(self) -> list[members.HostRow]:
         """Return the hosts through which requests may go, in random order.
 
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -406,6 +406,8 @@
         gauges.gauge('store_writes', self._platform.store.writes)
         gauges.gauge('connections_opened', host.upstream.opened_count)
         gauges.gauge('refused_parts', len(host.crashing_parts.list_refusals()))
+        gauges.gauge('broken_paths', len(self._paths.list_broken()))
+        gauges.gauge('passed_on', self._paths.passed_on)
         return server.JsonResponse(gauges.render().encode(), 200, 'text/plain')
 
     async def _show_state(
--- a/src/cairnloom/entry/status.py
+++ b/src/cairnloom/entry/status.py
@@ -30,6 +30,7 @@
     avoided: bool
     cached_parts: int
     rate_limit: float | None
+    software: str | None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,7 +43,8 @@
     of requests in progress. ``seconds_to_true_time`` is how far true time is
     ahead of the host's steady clock. ``repeats_left`` is what is left of each
     service's retry budget. ``refused_parts`` are the prompt parts that are
-    refused because they crash engines.
+    refused because they crash engines, and ``broken_paths`` the endpoints that
+    this host reaches through other hosts only.
     """
 
     host: str
@@ -57,6 +59,7 @@
     repeats_left: dict[str, float]
     endpoints: list[EndpointStatus]
     refused_parts: list[str]
+    broken_paths: list[str]
 
 
 # An urgency value that is less urgent than any request, so that all queued
@@ -86,6 +89,7 @@
                 stats.is_avoided(now),
                 len(stats.parts),
                 limit.rate if limit else None,
+                instance.software,
             )
         )
     return HostStatus(
@@ -108,4 +112,5 @@
             for refusal in host.crashing_parts.list_refusals()
             for part in refusal.parts
         ),
+        host.paths.list_broken(),
     )
--- a/tests/test_path_choice.py
+++ b/tests/test_path_choice.py
@@ -99,6 +99,9 @@
         )
         self.depth = 0
 
+    def is_alone(self):
+        return False
+
     def candidates(self, now):
         return [host.own_row for host in self.world.hosts if host is not self]
 
