--- a/src/cairnloom/entry/messages.py
+++ b/src/cairnloom/entry/messages.py
@@ -186,9 +186,9 @@
 class PassedCall:
     """Ask another host to send a request to an endpoint.
 
-    ``host`` is the name of the host that is asked, ``endpoint`` the run of the
-    endpoint, and ``body`` is in base64. ``request`` is the caller's id. The
-    answer is that of the endpoint, as it arrives, or a refusal.
+    ``host`` is the name of the sender, ``endpoint`` the run of the endpoint,
+    and ``body`` is in base64. ``request`` is the caller's id. The answer is
+    that of the endpoint, as it arrives, or a refusal.
     """
 
     host: str
--- a/src/cairnloom/entry/paths.py
+++ b/src/cairnloom/entry/paths.py
@@ -353,9 +353,11 @@
         Raises :class:`~cairnloom.exceptions.EndpointError`. Its ``own_path``
         is not set if that host found the endpoint at fault.
         """
+        own_host = self._members.own_row.host
         try:
             response = await self._upstream.open(
-                _build_passed_call(host, call), OTHER_HOST_CONNECT_SECONDS
+                _build_passed_call(own_host, host, call),
+                OTHER_HOST_CONNECT_SECONDS,
             )
         except exceptions.EndpointError as fault:
             self._pause(host, HOST_PAUSE_SECONDS)
@@ -417,11 +419,11 @@
 
 
 def _build_passed_call(
-    host: members.HostRow, call: upstream.EndpointCall
+    sender: str, host: members.HostRow, call: upstream.EndpointCall
 ) -> upstream.EndpointCall:
-    """Return the call to another host that has it pass a request on."""
+    """Return the call that has another host pass a request on."""
     message = messages.PassedCall(
-        host.host,
+        sender,
         call.instance.run_key,
         call.method.decode(),
         call.target.decode('latin-1'),
--- a/src/cairnloom/entry/requests.py
+++ b/src/cairnloom/entry/requests.py
@@ -40,7 +40,7 @@
     ``possible_runs`` counts the attempts that may have run the request, and
     ``attempt_count`` all attempts. Once the caller holds events of a stream,
     ``begun`` is set, and the stream may go on only at ``begun_version``;
-    it can't go on if that is None. ``begun_at`` is the endpoint that began
+    it can't go on if that is None. ``first_endpoint`` is the one that began
     the stream, if this host sent it there.
     """
 
@@ -75,7 +75,7 @@
             metadata.resumed or metadata.last_event
         )
         self.begun_version: str | None = None
-        self.begun_at: instances.Instance | None = None
+        self.first_endpoint: instances.Instance | None = None
         self.first_event_seconds: float | None = None
         self.longest_pause = 0.0
         self._last_event_at = 0.0
@@ -115,7 +115,7 @@
 
     def note_begun(self, instance: instances.Instance) -> None:
         """Record which endpoint sent the first event that the caller gets."""
-        self.begun_at = instance
+        self.first_endpoint = instance
         if not self.begun:
             self.begun = True
             self.begun_version = instance.software
