--- a/src/cairnloom/protocol/server.py
+++ b/src/cairnloom/protocol/server.py
@@ -99,9 +99,7 @@
         running_handler.addCallback(
             lambda response: _respond(request, response)
         )
-        running_handler.addErrback(
-            lambda reason: reason.trap(defer.CancelledError) and None
-        )
+        running_handler.addErrback(_log_fault)
         return server.NOT_DONE_YET
 
     def _find_handler(self, path: str) -> Handler | None:
@@ -130,13 +128,18 @@
 
 
 def _build_fault_response(reason: failure.Failure) -> JsonResponse:
+    _log_fault(reason)
+    return refuse('internal error', http.INTERNAL_SERVER_ERROR)
+
+
+def _log_fault(reason: failure.Failure) -> None:
+    # A handler is cancelled when its peer has left.
     if not reason.check(defer.CancelledError):
         eliot.log_message(
             message_type='call_fault',
             kind=reason.type.__name__ if reason.type else '',
             where=reason.getTraceback()[-600:],
         )
-    return refuse('internal error', http.INTERNAL_SERVER_ERROR)
 
 
 def _parse_request(request: server.Request) -> JsonRequest:
