--- a/src/cairnloom/entry/attempts.py
+++ b/src/cairnloom/entry/attempts.py
@@ -151,6 +151,7 @@
     if head.request_id and head.request_id != request.metadata.request_id:
         response.drop()
         raise exceptions.EndpointError('answer to another request', True)
+    _log_announcements(request, instance, head)
     _note_rate_limit(host, instance, head)
     if head.load is not None:
         host.endpoint_stats.for_instance(instance).note_load(
@@ -159,6 +160,24 @@
     return response, head
 
 
+def _log_announcements(
+    request: requests.Request,
+    instance: instances.Instance,
+    head: work.ResponseHead,
+) -> None:
+    if not head.leaving and not head.retry_after:
+        return
+    listed = request.host.cluster_state.directory.find(instance.name)
+    logs.log_event(
+        'endpoint_announces',
+        request=request.metadata.request_id,
+        endpoint=instance.name,
+        leaving=head.leaving,
+        retry_after=head.retry_after,
+        listed=listed and listed.state,
+    )
+
+
 def _note_rate_limit(
     host: state.HostContext,
     instance: instances.Instance,
--- a/src/cairnloom/platform/names.py
+++ b/src/cairnloom/platform/names.py
@@ -31,6 +31,8 @@
 # therefore be repeated.
 NOT_RUN = b'Not-Executed'
 RETRY_AFTER = b'Retry-After'
+# Its presence shows that the endpoint is about to shut down.
+LEAVING = b'Server-Leaving'
 HOLDER = b'Lease-Holder'
 FENCE = b'Fencing-Token'
 PRIORITY = b'Request-Priority'
--- a/src/cairnloom/platform/requests.py
+++ b/src/cairnloom/platform/requests.py
@@ -105,6 +105,8 @@
         not_run=not_run,
         load=_read_load(_first_value(headers, names.LOAD)),
         rate_limit=_read_rate_limit(status, headers),
+        leaving=status != _MISDIRECTED and headers.hasHeader(names.LEAVING),
+        retry_after=_first_value(headers, names.RETRY_AFTER),
         headers=passed_headers,
     )
 
--- a/src/cairnloom/routing/work.py
+++ b/src/cairnloom/routing/work.py
@@ -116,7 +116,8 @@
     ``signed`` is true if the answer comes from the endpoint itself,
     ``not_run`` if the request has not run and will not run. ``rate_limit`` is
     the number of requests per second that the endpoint takes from all hosts
-    together, or None.
+    together, or None. ``leaving`` is true if the endpoint is about to shut
+    down. ``retry_after`` is the text of the header of this name.
     """
 
     status: int
@@ -125,6 +126,8 @@
     not_run: bool = False
     load: ReportedLoad | None = None
     rate_limit: float | None = None
+    leaving: bool = False
+    retry_after: str = ''
     headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -278,6 +278,8 @@
             b'Server-Signature': [b's'],
             b'Server-Load': [b'3,1,8'],
             b'Server-Limit': [b'2.5'],
+            b'Server-Leaving': [b'1'],
+            b'Retry-After': [b'1.5'],
             b'Instance-Id': [b'i-1'],
             b'Content-Type': [b'text/plain'],
             b'Connection': [b'keep-alive'],
@@ -286,6 +288,12 @@
     assert dataclasses.asdict(requests.read_head(200, headers)) == snapshot
 
 
+def test_other_instance_does_not_announce_that_this_one_leaves():
+    headers = http_headers.Headers({b'Server-Leaving': [b'1']})
+    assert requests.read_head(503, headers).leaving
+    assert not requests.read_head(421, headers).leaving
+
+
 def test_limit_in_an_answer_of_another_instance_is_ignored():
     headers = http_headers.Headers({b'Server-Limit': [b'2.5']})
     assert requests.read_head(503, headers).rate_limit == 2.5
