--- a/src/cairnloom/standins/atlas.py
+++ b/src/cairnloom/standins/atlas.py
@@ -226,6 +226,12 @@
     ``software`` is the version of its software, and ``born`` the time of its
     start in Unix milliseconds, left out if 0. ``event_seconds`` is the time
     between two events of its streams, if it is not EVENT_SECONDS.
+
+    If ``leaving`` is set, all answers say that it is about to shut down.
+    ``report_state`` and ``leaves_ms`` stand in its report. While
+    ``retry_after`` is set, callers' requests are turned away with status 503
+    and this text as the time to wait. ``control_calls`` holds the arrival
+    time and the path of each control call.
     """
 
     name: str
@@ -250,6 +256,13 @@
     software: str = 'v1'
     born: int = 0
     event_seconds: float | None = None
+    leaving: bool = False
+    report_state: str = 'ready'
+    leaves_ms: int | None = None
+    retry_after: str = ''
+    control_calls: list[tuple[float, str]] = dataclasses.field(
+        default_factory=list
+    )
 
     def row(self, state: str = 'ready') -> bytes:
         """Return the value of the row in which the endpoint registers."""
@@ -453,12 +466,20 @@
         self._channels.append(channel)
         return channel
 
+    def exit(self) -> None:
+        """Stop for good, and reset all connections."""
+        self.close()
+        self._reset_connections()
+
     def crash(self) -> None:
         """Reset all connections, and refuse new ones for a while."""
         self._endpoint.crashes += 1
         if self._port is not None:
             self.stop_listening()
             self.reactor.callLater(RESTART_SECONDS, self.listen)
+        self._reset_connections()
+
+    def _reset_connections(self) -> None:
         channels, self._channels = self._channels, []
         for channel in channels:
             if channel.transport is not None:
@@ -467,6 +488,10 @@
     def answer(self, request: _Request) -> None:
         """Answer a caller's request or a control call."""
         path = request.path.decode()
+        if self._endpoint.leaving:
+            request.setHeader(names.LEAVING, b'1')
+        if path.startswith('/v1/'):
+            self._endpoint.control_calls.append((self.reactor.seconds(), path))
         if path == '/v1/report':
             request.reply(200, self._report())
         elif path == '/v1/kv-list':
@@ -492,7 +517,10 @@
             'Sequence': len(self._endpoint.orders),
             'Waiting': 0,
             'Running': 0,
+            'State': self._endpoint.report_state,
         }
+        if self._endpoint.leaves_ms is not None:
+            fields['leaves_ms'] = self._endpoint.leaves_ms
         if self._endpoint.born:
             fields['born'] = self._endpoint.born
         return fields
@@ -516,6 +544,11 @@
         if received.header(names.EXPECTED_INSTANCE) != self._endpoint.name:
             request.reply(421, None, {names.INSTANCE: b'other'})
             return
+        if self._endpoint.retry_after:
+            retry_after = self._endpoint.retry_after.encode()
+            headers = {names.NOT_RUN: b'1', names.RETRY_AFTER: retry_after}
+            request.reply(503, None, headers)
+            return
         faults = self._endpoint.planned_faults
         fault = faults.popleft() if faults else ''
         if fault.startswith(('flood', 'unframed')):
@@ -568,6 +601,8 @@
         }
         if self._endpoint.rate_limit is not None:
             headers[names.RATE_LIMIT] = b'%.1f' % self._endpoint.rate_limit
+        if self._endpoint.leaving:
+            headers[names.LEAVING] = b'1'
         return headers
 
     def _serve(
--- a/tests/atlas_deployment.py
+++ b/tests/atlas_deployment.py
@@ -175,6 +175,24 @@
         self.endpoints[endpoint.name] = endpoint
         run_in_reactor(self._open_endpoint, endpoint)
 
+    def put_row(self, name, state='ready'):
+        """Write the row of an endpoint again."""
+        row = self.endpoints[name].row(state)
+        run_in_reactor(self.store.put, 'servers', name, row)
+
+    def restart_endpoint(self, name, born):
+        """Begin a new run of an endpoint, under its name and address."""
+        endpoint = self.endpoints[name]
+        endpoint.born, endpoint.leaving = born, False
+        endpoint.report_state, endpoint.leaves_ms = 'ready', None
+        self.put_row(name)
+
+    def replace_endpoint(self, name, successor):
+        """End an endpoint, and start another one at its address."""
+        run_in_reactor(self._endpoint_servers[name].exit)
+        successor.port = self.endpoints[name].port
+        self.add_endpoint(successor)
+
     def stop_listening(self, name):
         """Have an endpoint refuse new connections, for all hosts."""
         run_in_reactor(self._endpoint_servers[name].stop_listening)
