--- a/src/cairnloom/entry/paths.py
+++ b/src/cairnloom/entry/paths.py
@@ -177,16 +177,22 @@
     async def _open_over_broken_path(
         self, call: upstream.EndpointCall
     ) -> upstream.EndpointResponse:
-        """Send a request through another host, or else try the own path."""
+        """Send a request through another host, or else try the own path.
+
+        The path may work again since it was probed, and the other host may
+        have been cut off meanwhile.
+        """
         try:
             return await self._open_through_hosts(call)
         except exceptions.EndpointError as fault:
-            if fault.may_have_run or not fault.own_path:
+            if fault.may_have_run:
                 raise
+            may_be_sound = fault.own_path
         try:
             return await self._open_directly(call)
         except exceptions.EndpointError as fault:
-            fault.own_path = fault.own_path or not fault.may_have_run
+            if may_be_sound and not fault.may_have_run:
+                fault.own_path = True
             raise
 
     async def _open_directly(
--- a/tests/test_path_choice.py
+++ b/tests/test_path_choice.py
@@ -307,3 +307,16 @@
 
     found = state_machines.expect_failure(FaultyMachine)
     assert any(text in found for text in failure.split('|'))
+
+
+def test_restored_path_is_tried_before_another_host_blames_the_endpoint():
+    """The other host may have been cut off just now, and not know it."""
+    world = World()
+    sender, endpoint = world.hosts[0], world.endpoints[0]
+    sender.cut = True
+    assert isinstance(send(world, sender, endpoint, 'r1'), FakeResponse)
+    sender.cut = False
+    for other in world.hosts[1:]:
+        other.cut = True
+    assert isinstance(send(world, sender, endpoint, 'r2'), FakeResponse)
+    assert world.received.count(('e0', 'r2')) == 1
