--- a/src/cairnloom/entry/attempts.py
+++ b/src/cairnloom/entry/attempts.py
@@ -43,6 +43,10 @@
     host = request.host
     if not request.may_run_on(instance):
         return outcomes.NotRun('other software version', False)
+    objection = host.paths.find_objection(instance)
+    if objection:
+        request.log_failed_attempt(instance, 'withheld', objection)
+        return outcomes.NotRun(objection, False, withheld=True)
     if not request.take_retry():
         return outcomes.Rejected('retry budget')
     stats = host.endpoint_stats.for_instance(instance)
@@ -92,8 +96,10 @@
             elif outcome.head is None and not outcome.own_path:
                 stats.note_failure(host.now())
         case outcomes.NotRun(reason=reason, arrived=arrived):
-            request.log_failed_attempt(instance, 'not_run', reason)
-            if not outcome.own_path:
+            request.log_failed_attempt(
+                instance, 'withheld' if outcome.withheld else 'not_run', reason
+            )
+            if not outcome.blameless:
                 stats.note_failure(host.now())
             if not arrived:
                 request.endpoints_reached -= 1
@@ -124,8 +130,6 @@
     repeatable: bool,
 ) -> tuple[upstream.EndpointResponse, work.ResponseHead]:
     host, caller = request.host, request.caller
-    if not host.cluster_state.directory.is_current(instance):
-        raise exceptions.EndpointError('endpoint has left', False)
     parameters = work.AttemptParameters(
         instance=instance.name,
         left=request.deadline - host.now(),
@@ -151,7 +155,6 @@
     if head.request_id and head.request_id != request.metadata.request_id:
         response.drop()
         raise exceptions.EndpointError('answer to another request', True)
-    _log_announcements(request, instance, head)
     _note_rate_limit(host, instance, head)
     if head.load is not None:
         host.endpoint_stats.for_instance(instance).note_load(
@@ -160,24 +163,6 @@
     return response, head
 
 
-def _log_announcements(
-    request: requests.Request,
-    instance: instances.Instance,
-    head: work.ResponseHead,
-) -> None:
-    if not head.leaving and not head.retry_after:
-        return
-    listed = request.host.cluster_state.directory.find(instance.name)
-    logs.log_event(
-        'endpoint_announces',
-        request=request.metadata.request_id,
-        endpoint=instance.name,
-        leaving=head.leaving,
-        retry_after=head.retry_after,
-        listed=listed and listed.state,
-    )
-
-
 def _note_rate_limit(
     host: state.HostContext,
     instance: instances.Instance,
@@ -225,7 +210,9 @@
 
 def _classify_fault(fault: exceptions.EndpointError) -> outcomes.Outcome:
     if not fault.may_have_run:
-        return outcomes.NotRun(str(fault), False, fault.own_path)
+        return outcomes.NotRun(
+            str(fault), False, fault.own_path, fault.withheld
+        )
     return outcomes.Failed(
         str(fault), fault.connection_lost, own_path=fault.own_path
     )
--- a/src/cairnloom/entry/cluster_state.py
+++ b/src/cairnloom/entry/cluster_state.py
@@ -96,6 +96,7 @@
         self.table: routes.RoutingTable | None = None
         self.document = b''
         self.directory = instances.Directory()
+        self.directory.on_ignored = _log_ignored_row
         self.reachable: dict[str, bool] = {}
         self.hub_synced_at = float('-inf')
         self.on_removed: Callable[[instances.Instance], None] = lambda _: None
@@ -184,6 +185,27 @@
                 self._note_removed(dropped_instance)
         directory.note_version(update.version)
 
+    def note_leaving(
+        self, identity: tuple[str, int], host: str, now: float
+    ) -> bool:
+        """Record that a run of an endpoint has said that it leaves.
+
+        ``host`` is the host that reports it, empty if it is this host. Returns
+        whether this is new.
+        """
+        name, born = identity
+        listed = self.directory.find(name)
+        if not self.directory.note_leaving(identity, now):
+            return False
+        logs.log_event(
+            'endpoint_leaves',
+            name=name,
+            born=born,
+            told_by=host,
+            row=listed and listed.state,
+        )
+        return True
+
     def remove_missing_endpoints(self, now: float) -> None:
         """Remove endpoints whose rows have been missing for too long."""
         for instance in self.directory.expire(now):
@@ -226,6 +248,10 @@
     )
 
 
+def _log_ignored_row(instance: instances.Instance) -> None:
+    logs.log_event('ready_row_ignored', name=instance.name, born=instance.born)
+
+
 class Follower:
     """Keep the cluster state up to date with one source of the store."""
 
--- a/src/cairnloom/entry/generation.py
+++ b/src/cairnloom/entry/generation.py
@@ -99,7 +99,13 @@
             ),
             urgency=request.urgency,
             left=placement_deadline - now,
-            tried=sorted(self._tried),
+            tried=sorted(
+                self._tried.union(
+                    self._host.announcements.list_unusable(
+                        request.service.name, now
+                    )
+                )
+            ),
             avoided=sorted(self._host.endpoint_stats.list_avoided(now)),
             cache_at=cache_holder,
             resumes=request.begun,
@@ -109,14 +115,14 @@
     async def _run_placement(
         self, placement: scheduler.Placement
     ) -> outcomes.Outcome:
-        prefill_engine = self._find_ready_engine(placement.reading)
+        prefill_engine = self._find_usable_engine(placement.reading)
         if self._cache_handle is None and placement.apart:
             if prefill_engine is None:
                 return self._skip_engine(placement.reading)
             failure = await self._prefill(prefill_engine, placement)
             if failure is not None:
                 return failure
-        answering_engine = self._find_ready_engine(placement.answering)
+        answering_engine = self._find_usable_engine(placement.answering)
         if answering_engine is None:
             return self._skip_engine(placement.answering)
         if not self._request.may_run_on(answering_engine):
@@ -148,7 +154,7 @@
             case (
                 outcomes.Failed(connection_lost=True)
                 | outcomes.Failed(own_path=True)
-                | outcomes.NotRun(own_path=True)
+                | outcomes.NotRun(blameless=True)
             ):
                 self._note_engine_failed('')
             case outcomes.Failed() | outcomes.NotRun():
@@ -189,16 +195,15 @@
             return False
         return not engine.born or report.born in (0, engine.born)
 
-    def _find_ready_engine(self, name: str) -> instances.Instance | None:
+    def _find_usable_engine(self, name: str) -> instances.Instance | None:
         engine = self._host.cluster_state.directory.find(name)
-        if engine is None or engine.state != 'ready':
+        if engine is None or self._host.paths.find_objection(engine):
             return None
         return engine
 
     def _find_netloc(self, name: str) -> str:
-        engine = (
-            self._host.cluster_state.directory.find(name) if name else None
-        )
+        """Return the address of an engine, '' if it takes no new work."""
+        engine = self._find_usable_engine(name) if name else None
         return engine.netloc if engine else ''
 
     def _note_accepted(self) -> None:
@@ -274,7 +279,9 @@
                 requests.LostConnection(prefill_engine, False, sent_at, now)
             )
             self._note_engine_failed('')
-        elif getattr(fault, 'own_path', False):
+        elif getattr(fault, 'own_path', False) or getattr(
+            fault, 'withheld', False
+        ):
             self._note_engine_failed('')
         else:
             self._host.endpoint_stats.for_instance(
--- a/src/cairnloom/entry/hubs.py
+++ b/src/cairnloom/entry/hubs.py
@@ -115,6 +115,7 @@
             )
         self._host.quarantine.merge(request.marks, now)
         self._host.crashing_parts.merge(request.findings, now)
+        self._host.announcements.receive(request.leaving, request.me.host, now)
         if request.load is not None:
             self._host.exchange.apply_message(request.load, now)
         document = None
@@ -209,11 +210,12 @@
         Returns whether the hub answered and is connected to the store.
         """
         host, sent_at = self._host, self._host.now()
+        request = self._build_request(hub, sent_at, load)
         try:
             reply = await self._peers.call(
                 hub,
                 messages.SYNC,
-                self._build_request(hub, sent_at, load),
+                request,
                 messages.SyncReply,
                 TIMEOUT_SECONDS,
             )
@@ -222,6 +224,7 @@
             self._members.avoid(hub.host, host.now())
             return False
         self._members.note_answer(hub.host)
+        host.announcements.note_told(reply.owner, request.leaving)
         if not reply.names_software:
             # A hub of an older build can't replace the store.
             reply = dataclasses.replace(reply, fresh=False)
@@ -248,6 +251,7 @@
             load=load,
             findings=host.crashing_parts.list_findings(now),
             limits=limits,
+            leaving=host.announcements.list_untold(hub.owner),
         )
         if load is None:
             return request
@@ -266,6 +270,7 @@
             # ended. Hubs whose entries are lost send their complete lists once
             # more.
             self._revisions.clear()
+            host.announcements.forget_hubs()
         self._revisions[reply.owner] = (
             reply.directory,
             reply.hosts,
@@ -335,6 +340,7 @@
             crashing_parts.Findings(message.crashes), host.now()
         )
         host.rate_limits.merge(message.limits, host.now())
+        host.announcements.receive(message.leaving, message.host, host.now())
         for report in message.streams:
             origins.receive(report)
         for event in message.notes:
--- a/src/cairnloom/entry/leader_tasks.py
+++ b/src/cairnloom/entry/leader_tasks.py
@@ -191,6 +191,9 @@
                 return
             if report.role == order.role:
                 return
+            directory = self._host.cluster_state.directory
+            if not directory.is_current(order.instance):
+                raise exceptions.EndpointError('endpoint leaves', False)
             fence = authority.fence
             accepted = await self._engines.change_role(
                 order.instance, order.role, fence, report.sequence
--- a/src/cairnloom/entry/messages.py
+++ b/src/cairnloom/entry/messages.py
@@ -43,7 +43,8 @@
     rate limits, -1 for none. ``marks`` are the crashes of endpoints that it
     knows of, and ``findings`` what it knows of prompt parts that crash
     engines. If the sender is a hub, ``heard`` lists the hosts that called it
-    directly and ``load`` is the load that it placed.
+    directly and ``load`` is the load that it placed. ``leaving`` are runs of
+    endpoints that have told the sender that they leave.
     """
 
     me: members.HostRow
@@ -55,6 +56,7 @@
     load: exchange.LoadMessage | None = None
     findings: crashing_parts.Findings = crashing_parts.Findings()
     limits: int = -1
+    leaving: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -117,7 +119,8 @@
 
     ``crashes`` are new reports of requests that may have crashed an engine,
     ``limits`` new limits that endpoints have named, and ``streams`` the
-    versions that began streams.
+    versions that began streams. ``leaving`` are runs of endpoints that have
+    told ``host`` that they leave.
     """
 
     notes: list[scheduler.PlacementEvent]
@@ -130,6 +133,8 @@
     streams: list[stream_versions.StreamReport] = dataclasses.field(
         default_factory=list
     )
+    leaving: list[str] = dataclasses.field(default_factory=list)
+    host: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
@@ -206,7 +211,8 @@
     """Why a host did not pass on the answer of an endpoint.
 
     ``tried`` is set if it tried to send the request; only then the endpoint
-    ``may_have_run`` it.
+    ``may_have_run`` it. ``leaving`` is set if it knows that this run of the
+    endpoint leaves.
     """
 
     reason: str
@@ -214,6 +220,7 @@
     may_have_run: bool
     connection_lost: bool
     cut_off: bool
+    leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/entry/outcomes.py
+++ b/src/cairnloom/entry/outcomes.py
@@ -20,11 +20,19 @@
 
     ``arrived`` is set if the request reached the endpoint, and ``own_path`` if
     the endpoint may be sound and only the path from this host to it broken.
+    ``withheld`` is set if it was not sent because the endpoint leaves, or
+    wants no requests now.
     """
 
     reason: str
     arrived: bool
     own_path: bool = False
+    withheld: bool = False
+
+    @property
+    def blameless(self) -> bool:
+        """Whether the endpoint did not fail."""
+        return self.own_path or self.withheld
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/entry/passing.py
+++ b/src/cairnloom/entry/passing.py
@@ -53,7 +53,7 @@
         self, call: server.JsonRequest
     ) -> server.JsonResponse:
         query = codec.decode(messages.ReachQuery, call.body)
-        instance = self._find_current(query.endpoint)
+        instance = self._find_listed(query.endpoint)
         reached = False
         if instance is not None and not self._paths.is_cut_off():
             fault = await self._paths.connect(
@@ -73,9 +73,11 @@
         It goes over this host's own path only.
         """
         message = codec.decode(messages.PassedCall, call.body)
-        instance = self._find_current(message.endpoint)
+        instance = self._find_listed(message.endpoint)
         if instance is None or self._is_leaving() or self._paths.is_cut_off():
             return _refuse('not taken', cut_off=self._paths.is_cut_off())
+        if self._paths.find_objection(instance):
+            return self._withhold(instance)
         headers = http_headers.Headers()
         for name, value in message.headers:
             headers.addRawHeader(name, value)
@@ -87,6 +89,7 @@
             base64.b64decode(message.body),
             message.repeatable,
             message.request,
+            find_objection=lambda: self._paths.find_objection(instance),
         )
         self.passed_on += 1
         response = None
@@ -95,10 +98,13 @@
                 endpoint_call, paths.OTHER_HOST_CONNECT_SECONDS
             )
         except exceptions.EndpointError as fault:
+            if fault.withheld:
+                return self._withhold(instance)
             return _refuse(str(fault), fault, self._paths.is_cut_off())
         finally:
             if response is None:
                 self.passed_on -= 1
+        self._paths.note_answer(instance, response.status, response.headers)
         logs.log_event(
             'passed_on',
             request=message.request,
@@ -116,17 +122,20 @@
             _PassedBody(response, self),
         )
 
-    def _find_current(self, run_key: str) -> instances.Instance | None:
+    def _find_listed(self, run_key: str) -> instances.Instance | None:
         directory = self._cluster_state.directory
         instance = directory.find(run_key.rpartition('/')[0])
-        if (
-            instance is None
-            or instance.run_key != run_key
-            or not directory.is_current(instance)
-        ):
+        if instance is None or instance.run_key != run_key:
             return None
         return instance
 
+    def _withhold(self, instance: instances.Instance) -> server.JsonResponse:
+        """Refuse a request because of what its endpoint has announced."""
+        reason = self._paths.find_objection(instance)
+        logs.log_event('not_passed_on', endpoint=instance.name, reason=reason)
+        is_leaving = not self._cluster_state.directory.is_current(instance)
+        return _refuse(reason, leaving=is_leaving)
+
 
 class _PassedBody:
     """The body of an answer that is passed on; it ends the count of it."""
@@ -156,6 +165,7 @@
     reason: str,
     fault: exceptions.EndpointError | None = None,
     cut_off: bool = False,
+    leaving: bool = False,
 ) -> server.JsonResponse:
     refusal = messages.PassOnRefusal(
         reason,
@@ -163,5 +173,6 @@
         may_have_run=fault is not None and fault.may_have_run,
         connection_lost=fault is not None and fault.connection_lost,
         cut_off=cut_off,
+        leaving=leaving,
     )
     return server.JsonResponse(codec.encode(refusal), 503)
--- a/src/cairnloom/entry/paths.py
+++ b/src/cairnloom/entry/paths.py
@@ -24,6 +24,7 @@
 from ..runtime import concurrency
 from ..runtime import logs
 
+from . import announcements
 from . import cluster_state
 from . import members
 from . import messages
@@ -65,8 +66,10 @@
         cluster: cluster_state.ClusterState,
         membership: members.Members,
         peer_client: peers.PeerClient,
+        own_announcements: announcements.Announcements,
     ) -> None:
         self._reactor = reactor
+        self._announcements = own_announcements
         self._upstream = own_upstream
         self._cluster_state = cluster
         self._members = membership
@@ -92,6 +95,27 @@
             and self._connected_at < self._broken_at
         )
 
+    def find_objection(self, instance: instances.Instance) -> str:
+        """Return why new work must not be sent to an endpoint, or ''."""
+        return self._announcements.find_objection(
+            instance, self._reactor.seconds()
+        )
+
+    def note_leaving(self, instance: instances.Instance) -> None:
+        """Record that an endpoint has told this host that it leaves."""
+        self._announcements.note_leaving(instance, self._reactor.seconds())
+
+    def note_answer(
+        self,
+        instance: instances.Instance,
+        status: int,
+        headers: http_headers.Headers,
+    ) -> None:
+        """Take note of what an answer of an endpoint says of it."""
+        self._announcements.note_answer(
+            instance, status, headers, self._reactor.seconds()
+        )
+
     async def open(
         self, call: upstream.EndpointCall
     ) -> upstream.EndpointResponse:
@@ -101,6 +125,17 @@
         ``may_have_run`` is false if nothing was sent, and whose ``own_path``
         is set if the endpoint may not be at fault.
         """
+        if not call.is_control:
+            call = dataclasses.replace(
+                call, find_objection=lambda: self.find_objection(call.instance)
+            )
+        response = await self._open_any_way(call)
+        self.note_answer(call.instance, response.status, response.headers)
+        return response
+
+    async def _open_any_way(
+        self, call: upstream.EndpointCall
+    ) -> upstream.EndpointResponse:
         if not self._upstream.has_idle(call) and self.is_broken(call.instance):
             return await self._open_over_broken_path(call)
         try:
@@ -126,7 +161,13 @@
         Raises :class:`~cairnloom.exceptions.EndpointError`.
         """
         call = upstream.EndpointCall(
-            instance, method.encode(), target.encode(), headers, b'', True
+            instance,
+            method.encode(),
+            target.encode(),
+            headers,
+            b'',
+            True,
+            is_control=True,
         )
 
         async def run() -> client.Reply:
@@ -185,7 +226,7 @@
         try:
             return await self._open_through_hosts(call)
         except exceptions.EndpointError as fault:
-            if fault.may_have_run:
+            if fault.may_have_run or fault.withheld:
                 raise
             may_be_sound = fault.own_path
         try:
@@ -348,7 +389,7 @@
             try:
                 response = await self._open_through(host, call)
             except exceptions.EndpointError as fault:
-                if fault.may_have_run or not fault.own_path:
+                if fault.may_have_run or fault.withheld or not fault.own_path:
                     raise
                 reason = str(fault)
                 continue
@@ -376,6 +417,8 @@
                 OTHER_HOST_CONNECT_SECONDS,
             )
         except exceptions.EndpointError as fault:
+            if fault.withheld:
+                raise
             self._pause(host, HOST_PAUSE_SECONDS)
             raise exceptions.EndpointError(
                 'host: %s' % fault, fault.may_have_run, own_path=True
@@ -392,6 +435,13 @@
             raise exceptions.EndpointError(
                 'host: status %d' % response.status, False, own_path=True
             ) from fault
+        if refusal.leaving:
+            self._announcements.receive(
+                [call.instance.run_key], host.host, self._reactor.seconds()
+            )
+            raise exceptions.EndpointError(
+                refusal.reason, False, withheld=True
+            )
         if refusal.cut_off:
             self._pause(host, HOST_PAUSE_SECONDS)
         raise exceptions.EndpointError(
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -31,6 +31,7 @@
 from ..runtime import programs
 from ..runtime import runner
 
+from . import announcements
 from . import cache_discovery
 from . import clocks
 from . import cluster_state
@@ -73,6 +74,8 @@
 FLUSH_INTERVAL_SECONDS = 1.0
 WINDOWS_PER_FLUSH = 2
 EXPIRE_INTERVAL_SECONDS = 0.25
+# How long after it was announced a host may hear that an endpoint leaves.
+NEWS_SECONDS = 1.0
 # While the store fails, a host that is not a hub pauses at most this long
 # between store calls. Hubs retry sooner and inform the other hosts.
 LONGEST_NON_HUB_PAUSE_SECONDS = 5.0
@@ -165,6 +168,13 @@
             own_scheduler_client.report_stream,
         )
         self._stream_origins.on_mixed = self._report_streams
+        own_announcements = announcements.Announcements(
+            platform.header_codec.read_announcement, cluster, stats
+        )
+        own_announcements.on_leaving = own_scheduler_client.report_leaving
+        cluster.directory.grace_seconds = max(
+            0.0, host_settings.bounds.drain - NEWS_SECONDS
+        )
         own_upstream = upstream.Upstream(reactor, platform.read_idle_timeout)
         self._paths = paths.Paths(
             reactor,
@@ -172,6 +182,7 @@
             cluster,
             self._members,
             self._peers,
+            own_announcements,
         )
         self._passer = passing.RequestPasser(
             self._paths, own_upstream, cluster, lambda: self._host.leaving
@@ -185,6 +196,7 @@
             engines=platform.engines,
             cluster_state=cluster,
             upstream=own_upstream,
+            announcements=own_announcements,
             paths=self._paths,
             endpoint_stats=stats,
             endpoint_selector=endpoint_selector,
--- a/src/cairnloom/entry/requests.py
+++ b/src/cairnloom/entry/requests.py
@@ -134,13 +134,13 @@
     def candidates(
         self, role: str, tried: set[str]
     ) -> list[instances.Instance]:
-        """Return the untried, ready endpoints that accept a role's work."""
-        ready_instances = self.host.cluster_state.directory.ready(
-            self.service.name
+        """Return the untried, usable endpoints that accept a role's work."""
+        usable_instances = self.host.cluster_state.directory.list_usable(
+            self.service.name, self.host.now()
         )
         return [
             instance
-            for instance in ready_instances
+            for instance in usable_instances
             if instance.role in (role, '')
             and instance.name not in tried
             and self.may_run_on(instance)
--- a/src/cairnloom/entry/scheduler_client.py
+++ b/src/cairnloom/entry/scheduler_client.py
@@ -151,6 +151,13 @@
             self._collect(hub).limits.append(report)
             self._schedule_flush(hub, EVENT_DELAY_SECONDS)
 
+    def report_leaving(self, run_key: str) -> None:
+        """Report a run of an endpoint that leaves to the scheduling hub."""
+        hub = self._choose_hub()
+        if hub is not None:
+            self._collect(hub).leaving.append(run_key)
+            self._schedule_flush(hub, EVENT_DELAY_SECONDS)
+
     async def take_permit(self, endpoint: instances.Instance) -> float:
         """Count a request to an endpoint against its limit, if it has one.
 
@@ -223,7 +230,8 @@
 
     def _collect(self, hub: members.HostRow) -> messages.PlacementEvents:
         return self._pending.setdefault(
-            hub.owner, messages.PlacementEvents([])
+            hub.owner,
+            messages.PlacementEvents([], host=self._members.own_row.host),
         )
 
     def _schedule_flush(self, hub: members.HostRow, delay: float) -> None:
--- a/src/cairnloom/entry/state.py
+++ b/src/cairnloom/entry/state.py
@@ -20,6 +20,7 @@
 from ..routing import work
 from ..runtime import metrics
 
+from . import announcements
 from . import clocks
 from . import cluster_state
 from . import members
@@ -49,6 +50,11 @@
     ) -> work.ResponseHead:
         """Read the head of an endpoint's response."""
 
+    def read_announcement(
+        self, status: int, headers: http_headers.Headers
+    ) -> work.Announcement:
+        """Read what an endpoint says of itself in a response's head."""
+
     def read_cache_handle(self, body: bytes) -> work.CacheHandle:
         """Read the handle of the KV cache from the response to a prefill."""
 
@@ -129,6 +135,7 @@
     engines: EngineClient
     cluster_state: cluster_state.ClusterState
     upstream: upstream.Upstream
+    announcements: announcements.Announcements
     paths: paths.Paths
     endpoint_stats: endpoint_stats.StatsRegistry
     endpoint_selector: selection.EndpointSelector
--- a/src/cairnloom/entry/upstream.py
+++ b/src/cairnloom/entry/upstream.py
@@ -127,6 +127,9 @@
 
     ``target`` is the path and query. ``repeatable`` is set if the request may
     be sent again after it may have run. ``request`` is its id, for the log.
+    ``is_control`` is set if it is no work for the endpoint. ``find_objection``
+    is called right before the request is sent, and returns why it must not be,
+    or ''.
     """
 
     instance: instances.Instance
@@ -136,6 +139,8 @@
     body: bytes
     repeatable: bool
     request: str = ''
+    is_control: bool = False
+    find_objection: Callable[[], str] = lambda: ''
 
 
 class EndpointResponse:
@@ -239,9 +244,15 @@
         Raises :class:`~cairnloom.exceptions.EndpointError`, whose
         ``may_have_run`` is false if nothing was sent.
         """
+        _raise_objection(call)
         connection = self._take_idle(call)
         if connection is None:
             connection = await self._connect(call.instance, connect_seconds)
+            try:
+                _raise_objection(call)
+            except exceptions.EndpointError:
+                self._keep_idle(call.instance, connection)
+                raise
         request = _newclient.Request(
             call.method,
             call.target,
@@ -386,6 +397,12 @@
         )
 
 
+def _raise_objection(call: EndpointCall) -> None:
+    objection = call.find_objection()
+    if objection:
+        raise exceptions.EndpointError(objection, False, withheld=True)
+
+
 def _make_body(call: EndpointCall) -> http_client.BytesProducer | None:
     if call.body or call.method == b'POST':
         return http_client.BytesProducer(call.body)
--- a/src/cairnloom/exceptions.py
+++ b/src/cairnloom/exceptions.py
@@ -51,7 +51,8 @@
     the request. ``status`` is the HTTP status to answer the caller with.
     ``connection_lost`` is true if the connection was lost, as in a crash.
     ``own_path`` is true if the endpoint may be sound and only the path from
-    this host to it broken.
+    this host to it broken. ``withheld`` is true if nothing was sent because
+    the endpoint leaves, or wants no requests now.
     """
 
     def __init__(
@@ -61,12 +62,14 @@
         status: int = 502,
         connection_lost: bool = False,
         own_path: bool = False,
+        withheld: bool = False,
     ) -> None:
         super().__init__(reason)
         self.may_have_run = may_have_run
         self.status = status
         self.connection_lost = connection_lost
         self.own_path = own_path
+        self.withheld = withheld
 
 
 class CoordinationError(CairnloomError):
--- a/src/cairnloom/platform/engines.py
+++ b/src/cairnloom/platform/engines.py
@@ -21,6 +21,7 @@
 from . import names
 
 TIMEOUT_SECONDS = 1.0
+_LEAVING_STATE = 'draining'
 
 T = TypeVar('T')
 
@@ -33,6 +34,7 @@
     the orders that it has accepted since its start. ``used_tokens`` and
     ``total_tokens`` are the used and the total size of its KV cache. ``born``
     is its start time in milliseconds of Unix time, or 0 if unknown.
+    ``leaving`` is true if it is about to shut down.
     """
 
     role: str
@@ -43,6 +45,7 @@
     used_tokens: int
     total_tokens: int
     born: int = 0
+    leaving: bool = False
 
 
 class ControlPaths(Protocol):
@@ -58,6 +61,17 @@
     ) -> client.Reply:
         """Send a call that may be repeated, and read its reply."""
 
+    def note_answer(
+        self,
+        instance: instances.Instance,
+        status: int,
+        headers: http_headers.Headers,
+    ) -> None:
+        """Take note of what an engine says of itself in an answer."""
+
+    def note_leaving(self, instance: instances.Instance) -> None:
+        """Record that an engine has said that it leaves."""
+
 
 class EngineControlClient:
     """Client of the control interface of engines.
@@ -78,7 +92,11 @@
         Raises :class:`~cairnloom.exceptions.EndpointError`.
         """
         reply = await self._call('GET', instance, '/v1/report')
-        return _decode('report', reply.body, _read_report)
+        report = _decode('report', reply.body, _read_report)
+        is_same_run = not instance.born or report.born in (0, instance.born)
+        if report.leaving and is_same_run and self.paths is not None:
+            self.paths.note_leaving(instance)
+        return report
 
     async def list_cached(
         self, instance: instances.Instance
@@ -144,13 +162,16 @@
                 instance, method, path, headers, TIMEOUT_SECONDS
             )
         try:
-            return await self._http.exchange(
+            reply = await self._http.exchange(
                 method, url, body, TIMEOUT_SECONDS, headers
             )
         except exceptions.TransportError as fault:
             raise exceptions.EndpointError(
                 str(fault), fault.may_have_been_sent
             ) from fault
+        if self.paths is not None:
+            self.paths.note_answer(instance, reply.status, reply.headers)
+        return reply
 
 
 def _decode(body_name: str, body: bytes, convert: Callable[[Any], T]) -> T:
@@ -177,6 +198,10 @@
         used_tokens=int(decoded.get('KvUsed', 0)),
         total_tokens=int(decoded.get('KvTotal', 0)),
         born=int(decoded.get('born', 0)),
+        leaving=(
+            decoded.get('State') == _LEAVING_STATE
+            or decoded.get('leaves_ms') is not None
+        ),
     )
 
 
--- a/src/cairnloom/platform/requests.py
+++ b/src/cairnloom/platform/requests.py
@@ -105,12 +105,20 @@
         not_run=not_run,
         load=_read_load(_first_value(headers, names.LOAD)),
         rate_limit=_read_rate_limit(status, headers),
-        leaving=status != _MISDIRECTED and headers.hasHeader(names.LEAVING),
-        retry_after=_first_value(headers, names.RETRY_AFTER),
         headers=passed_headers,
     )
 
 
+def read_announcement(
+    status: int, headers: http_headers.Headers
+) -> work.Announcement:
+    """Read what an endpoint says of itself in the head of an answer."""
+    if status == _MISDIRECTED:
+        # Another endpoint answers at the address of the expected one.
+        return work.Announcement()
+    return work.Announcement(leaving=headers.hasHeader(names.LEAVING))
+
+
 def read_idle_timeout(headers: http_headers.Headers) -> float | None:
     """Return how many seconds an endpoint keeps an idle connection open.
 
@@ -146,7 +154,8 @@
 
 # Headers of answers that are meant for the entry host, not for callers.
 _ENTRY_HOST_HEADERS = frozenset(
-    name.lower() for name in (names.LOAD, names.INSTANCE, names.NOT_RUN)
+    name.lower()
+    for name in (names.LOAD, names.INSTANCE, names.NOT_RUN, names.LEAVING)
 )
 
 
--- a/src/cairnloom/protocol/client.py
+++ b/src/cairnloom/protocol/client.py
@@ -40,10 +40,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Reply:
-    """A complete reply: its status and its body."""
+    """A complete reply: its status, body and headers."""
 
     status: int
     body: bytes
+    headers: http_headers.Headers = dataclasses.field(
+        default_factory=http_headers.Headers
+    )
 
 
 class BodySink(Protocol):
@@ -310,7 +313,7 @@
             raise
         self.exchanges += 1
         self.exchanged_bytes += len(body) + len(reply_body)
-        return Reply(reply.status, reply_body)
+        return Reply(reply.status, reply_body, reply.headers)
 
     async def close(self) -> None:
         """Close every pooled connection."""
--- a/src/cairnloom/routing/instances.py
+++ b/src/cairnloom/routing/instances.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+from typing import Callable
 from typing import Literal
 
 # Entries that expired during an outage of the store reappear in it within this
@@ -14,6 +15,9 @@
 # Number of changes that are kept for peers. A peer that is further behind gets
 # the whole directory.
 MAX_CHANGES = 1024
+# So many runs of endpoints are remembered as leaving, also after their rows
+# are gone. The earliest ones are forgotten first.
+MAX_LEAVING = 4096
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,6 +63,20 @@
         return '%s/%d' % self.identity
 
 
+def parse_run_key(run_key: str) -> tuple[str, int] | None:
+    """Return the identity of an instance from its text.
+
+    Returns None if the text is not one.
+
+    >>> parse_run_key('i-1/5')
+    ('i-1', 5)
+    """
+    name, _, born = run_key.rpartition('/')
+    if not name or not born.isascii() or not born.isdigit():
+        return None
+    return name, int(born)
+
+
 @dataclasses.dataclass(frozen=True)
 class InstanceChange:
     """A write to an entry of the directory.
@@ -85,6 +103,12 @@
     a grace time after it, are kept until that time is over. ``revision``
     counts the changes of this copy. ``version`` is the version of the store up
     to which the copy is complete.
+
+    A run of an endpoint that leaves stays so, whatever rows say later. It is
+    known from its row, from other hosts, or from the endpoint itself. For
+    ``grace_seconds`` after that, it may still be used where no other endpoint
+    is ready. ``on_ignored`` is called with an instance whose new row says
+    ready although this run leaves.
     """
 
     def __init__(self) -> None:
@@ -98,9 +122,16 @@
         self.version = 0
         self.loaded = False
         self._ready_by_service: dict[str, list[Instance]] = {}
+        self._leaving_by_service: dict[str, list[Instance]] = {}
         self._ready_revision = 0
         self._versions_by_service: dict[str, set[str | None]] = {}
         self._versions_revision = 0
+        # The time until which each run that leaves may still be used.
+        self._leaving: collections.OrderedDict[tuple[str, int], float] = (
+            collections.OrderedDict()
+        )
+        self.grace_seconds = 0.0
+        self.on_ignored: Callable[[Instance], None] = lambda _: None
 
     def note_outage(self, now: float) -> None:
         """Start the grace time again.
@@ -116,10 +147,11 @@
     def apply(self, change: InstanceChange, now: float) -> bool:
         """Apply one change; return whether it had any effect."""
         entry = self._entries.get(change.name)
+        is_news = self._note_leaving_row(change, now)
         if entry is not None and change.version < entry.version:
-            return False
+            return is_news
         if change.version <= self._removed_versions.get(change.name, -1):
-            return False
+            return is_news
         if change.instance is None:
             self._removed_versions[change.name] = change.version
             return self._mark_missing(change.name, now)
@@ -134,11 +166,28 @@
             instance = dataclasses.replace(
                 instance, software=entry.instance.software
             )
+        if instance.state == 'ready' and instance.identity in self._leaving:
+            if entry is None or change.version > entry.version:
+                self.on_ignored(instance)
+            instance = dataclasses.replace(instance, state='leaving')
         self._entries[change.name] = _Entry(instance, change.version)
         if entry is None or entry.instance != instance:
             self._note_change(change.name)
             return True
-        return False
+        return is_news
+
+    def note_leaving(self, identity: tuple[str, int], now: float) -> bool:
+        """Record that a run of an endpoint has said that it leaves.
+
+        Returns whether this is new.
+        """
+        if identity in self._leaving:
+            return False
+        self._leaving[identity] = now + self.grace_seconds
+        if len(self._leaving) > MAX_LEAVING:
+            self._leaving.popitem(last=False)
+        self._mark_leaving(identity)
+        return True
 
     def replace(
         self,
@@ -205,6 +254,7 @@
         if self._ready_revision != self.revision:
             self._ready_revision = self.revision
             self._ready_by_service.clear()
+            self._leaving_by_service.clear()
         ready_instances = self._ready_by_service.get(service)
         if ready_instances is None:
             ready_instances = self._ready_by_service[service] = [
@@ -215,6 +265,37 @@
             ]
         return ready_instances
 
+    def list_usable(self, service: str, now: float) -> list[Instance]:
+        """Return the instances that may get new work.
+
+        These are the ready ones. Without any that can run whole requests,
+        leaving ones are among them while their grace time lasts.
+        """
+        ready_instances = self.ready(service)
+        if any(instance.role != 'prefill' for instance in ready_instances):
+            return ready_instances
+        return ready_instances + [
+            instance
+            for instance in self.list_leaving(service)
+            if self._is_in_grace(instance, now)
+        ]
+
+    def list_leaving(self, service: str) -> list[Instance]:
+        """Return the instances of a service that are listed and leave.
+
+        Returns the same list object until the revision changes.
+        """
+        self.ready(service)
+        leaving_instances = self._leaving_by_service.get(service)
+        if leaving_instances is None:
+            leaving_instances = self._leaving_by_service[service] = [
+                entry.instance
+                for entry in self._entries.values()
+                if entry.instance.service == service
+                and entry.instance.state == 'leaving'
+            ]
+        return leaving_instances
+
     def list_versions(self) -> dict[str, set[str | None]]:
         """Return the software versions of the endpoints of each service.
 
@@ -229,8 +310,8 @@
                 ).add(entry.instance.software)
         return self._versions_by_service
 
-    def is_current(self, instance: Instance) -> bool:
-        """Return whether this instance is still listed and may get new work.
+    def is_listed(self, instance: Instance) -> bool:
+        """Return whether this instance is still listed, ready or leaving.
 
         A restarted or moved endpoint is another instance.
         """
@@ -240,7 +321,29 @@
             and entry.instance.identity == instance.identity
             and entry.instance.address == instance.address
             and entry.instance.port == instance.port
-            and entry.instance.state == 'ready'
+        )
+
+    def is_current(self, instance: Instance) -> bool:
+        """Return whether this instance is still listed and ready."""
+        return (
+            self.is_listed(instance)
+            and self._entries[instance.name].instance.state == 'ready'
+        )
+
+    def is_usable(self, instance: Instance, now: float) -> bool:
+        """Return whether this instance may get new work.
+
+        A leaving one may for its grace time, if no other is ready.
+        """
+        if self.is_current(instance):
+            return True
+        return (
+            self.is_listed(instance)
+            and self._is_in_grace(instance, now)
+            and not any(
+                other.role != 'prefill'
+                for other in self.ready(instance.service)
+            )
         )
 
     def changes(self) -> list[InstanceChange]:
@@ -263,6 +366,36 @@
         )
         return [self._make_change(name) for name in sorted(names)]
 
+    def _is_in_grace(self, instance: Instance, now: float) -> bool:
+        return now < self._leaving.get(instance.identity, float('-inf'))
+
+    def _note_leaving_row(self, change: InstanceChange, now: float) -> bool:
+        """Remember a run whose row says that it leaves.
+
+        Returns whether this is new. Without a start time, a later row may be
+        that of another run.
+        """
+        instance = change.instance
+        if (
+            instance is None
+            or instance.state != 'leaving'
+            or not instance.born
+        ):
+            return False
+        return self.note_leaving(instance.identity, now)
+
+    def _mark_leaving(self, identity: tuple[str, int]) -> None:
+        entry = self._entries.get(identity[0])
+        if (
+            entry is not None
+            and entry.instance.identity == identity
+            and entry.instance.state == 'ready'
+        ):
+            entry.instance = dataclasses.replace(
+                entry.instance, state='leaving'
+            )
+            self._note_change(identity[0])
+
     def _make_change(self, name: str) -> InstanceChange:
         entry = self._entries.get(name)
         if entry is None:
--- a/src/cairnloom/routing/scheduler.py
+++ b/src/cairnloom/routing/scheduler.py
@@ -190,7 +190,7 @@
                 'crashed endpoints', max(0.0, refusal.until - now)
             )
         is_short = self._note_prompt_length(placement_request)
-        engines = self._list_engines(placement_request)
+        engines = self._list_engines(placement_request, now)
         if self._rate_limits.is_empty():
             return self._place_on(host, placement_request, engines, now)
         return self._place_within_limits(
@@ -263,23 +263,21 @@
                 self._release_reservation(request)
 
     def _list_engines(
-        self, placement_request: PlacementRequest
+        self, placement_request: PlacementRequest, now: float
     ) -> selection.EngineGroups:
         if self._groups_revision != self._directory.revision:
             self._groups_revision = self._directory.revision
             self._groups_by_service.clear()
         groups = self._groups_by_service.get(placement_request.service)
         if groups is None:
-            engines = [
-                endpoint_stats.Candidate(
-                    instance, self._registry.for_instance(instance)
-                )
-                for instance in self._directory.ready(
-                    placement_request.service
-                )
-            ]
             groups = self._groups_by_service[placement_request.service] = (
-                _group_by_role(engines)
+                self._make_groups(
+                    self._directory.ready(placement_request.service)
+                )
+            )
+        if not groups.decode.members:
+            groups = self._make_groups(
+                self._directory.list_usable(placement_request.service, now)
             )
         if (
             not placement_request.tried
@@ -302,6 +300,18 @@
             selection.EngineGroup(decode_engines),
         )
 
+    def _make_groups(
+        self, engines: list[instances.Instance]
+    ) -> selection.EngineGroups:
+        return _group_by_role(
+            [
+                endpoint_stats.Candidate(
+                    engine, self._registry.for_instance(engine)
+                )
+                for engine in engines
+            ]
+        )
+
     def _place_on(
         self,
         host: str,
--- a/src/cairnloom/routing/work.py
+++ b/src/cairnloom/routing/work.py
@@ -116,8 +116,7 @@
     ``signed`` is true if the answer comes from the endpoint itself,
     ``not_run`` if the request has not run and will not run. ``rate_limit`` is
     the number of requests per second that the endpoint takes from all hosts
-    together, or None. ``leaving`` is true if the endpoint is about to shut
-    down. ``retry_after`` is the text of the header of this name.
+    together, or None.
     """
 
     status: int
@@ -126,11 +125,19 @@
     not_run: bool = False
     load: ReportedLoad | None = None
     rate_limit: float | None = None
-    leaving: bool = False
-    retry_after: str = ''
     headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
+@dataclasses.dataclass(frozen=True)
+class Announcement:
+    """What an endpoint says of itself in the head of an answer.
+
+    ``leaving`` is true if it is about to shut down.
+    """
+
+    leaving: bool = False
+
+
 @dataclasses.dataclass(frozen=True)
 class CacheHandle:
     """A KV cache that an engine keeps for another one to fetch."""
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -10,6 +10,8 @@
 import atlas_deployment
 import pytest
 
+from cairnloom.platform import names
+from cairnloom.routing import scheduler
 from cairnloom.runtime import concurrency
 from cairnloom.standins import atlas
 
@@ -80,7 +82,7 @@
 def ask_model(deployment, part, host=0):
     """Send a prompt that is long enough for a prefill engine of its own."""
     return deployment.ask_model(
-        '/chat/x', '%s:60000,own-%s:50' % (part, part), host=host
+        '/chat/x', '%s:20000,own-%s:50' % (part, part), host=host
     )
 
 
@@ -136,23 +138,64 @@
     assert count_runs(deployment, name) == count
 
 
+def place_always(program, **fields):
+    """Have a host place all prompts in the same way; return the requests."""
+    asked = []
+
+    async def place(request):
+        asked.append(request)
+        return scheduler.Placement(
+            **{
+                'reading': 'p1',
+                'answering': 'e1',
+                'apart': True,
+                'neighbour': '',
+                'seconds': 0.1,
+                'reading_seconds': 0.05,
+                'new_tokens': 10,
+            }
+            | fields
+        )
+
+    program._host.scheduler_client.place = place
+    return asked
+
+
 def test_shared_parts_are_not_fetched_from_an_engine_that_leaves(deploy):
     deployment = deploy(*make_engines())
-    for number in range(8):
-        assert ask_model(deployment, 'shared').status == 200
-    sources = {name for name in ('p0', 'p1') if count_runs(deployment, name)}
-    name = sorted(sources)[0]
+    program = deployment.programs[0]
+    place_always(program, neighbour='p0')
+    address = '127.0.0.1:%d' % deployment.endpoints['p0'].port
+    assert ask_model(deployment, 'a').status == 200
+    prefill = deployment.endpoints['p1'].received
+    assert prefill[-1].header(names.CACHE_NEIGHBOUR) == address
+    say_leaving(deployment, 'p0')
+    assert ask_model(deployment, 'b').status == 200
+    assert prefill[-1].header(names.CACHE_NEIGHBOUR) == ''
+
+
+@pytest.mark.parametrize(
+    'fields', [{'reading': 'p0'}, {'answering': 'e0'}], ids=['p0', 'e0']
+)
+def test_placement_of_a_hub_that_has_not_heard_is_not_followed(deploy, fields):
+    deployment = deploy(*make_engines())
+    program = deployment.programs[0]
+    (name,) = fields.values()
+    asked = place_always(program, **fields)
+    say_leaving(deployment, name)
+    assert ask_model(deployment, 'a').status == 503
+    assert not count_runs(deployment, name)
+    assert all(name in request.tried for request in asked)
+
+
+def say_leaving(deployment, name, host=0):
+    """Have an endpoint tell a host that it leaves, without a request."""
     deployment.endpoints[name].leaving = True
-    ask_until_reached(deployment, name)
-    for number in range(8):
-        assert ask_model(deployment, 'shared').status == 200
-    address = '127.0.0.1:%d' % deployment.endpoints[name].port
-    assert not [
-        received
-        for endpoint in deployment.endpoints.values()
-        for received in endpoint.received[-8:]
-        if received.header(b'Kv-Fetch') == address
-    ]
+    context = deployment.programs[host]._host
+    directory = context.cluster_state.directory
+    atlas_deployment.await_in_reactor(
+        lambda: context.engines.list_cached(directory.find(name))
+    )
 
 
 def test_streams_in_progress_end_undisturbed(deploy):
@@ -253,36 +296,30 @@
     deployment = deploy(*make_desks(1))
     program = deployment.programs[0]
     upstream = program._host.upstream
-    assert deployment.call('/safe/warm').status == 200
     connect = upstream._connect
+    delays = [1.0]
 
     async def connect_slowly(instance, seconds):
         connection = await connect(instance, seconds)
-        await concurrency.sleep(atlas_deployment.reactor, 0.4)
+        if delays:
+            await concurrency.sleep(atlas_deployment.reactor, delays.pop())
         return connection
 
     upstream._connect = connect_slowly
-    deployment.endpoints['d0'].leaving = True
     answers = []
-
-    def call(number):
-        answers.append(deployment.call('/safe/wait-%d' % number).status)
-
-    threads = [
-        threading.Thread(target=call, args=(number,)) for number in range(4)
-    ]
-    for thread in threads:
-        thread.start()
+    thread = threading.Thread(
+        target=lambda: answers.append(deployment.call('/safe/wait'))
+    )
+    thread.start()
+    atlas_deployment.wait_for(lambda: not delays)
     deployment.add_endpoint(atlas.Endpoint('d1', 'desk', born=5))
-    for thread in threads:
-        thread.join()
-    assert answers == [200] * 4
-    targets = [
-        received.target
-        for received in deployment.endpoints['d0'].received
-        if 'wait' in received.target
-    ]
-    assert len(targets) == 1
+    atlas_deployment.wait_for(lambda: 'd1' in list_ready(program))
+    say_leaving(deployment, 'd0')
+    assert list_ready(program) == ['d1']
+    assert thread.is_alive()
+    thread.join()
+    assert (answers[0].status, answers[0].body) == (200, b'd1 ')
+    assert not count_runs(deployment, 'd0')
 
 
 def test_both_hosts_of_a_passed_request_learn_that_an_endpoint_leaves(deploy):
--- a/tests/test_path_choice.py
+++ b/tests/test_path_choice.py
@@ -2,9 +2,13 @@
 
 A state machine runs the paths of several hosts, which are cut off, killed,
 restarted or of an older build, with calls between them that are lost before or
-after they had an effect, and endpoints that go down and leave.
+after they had an effect, and endpoints that go down and leave. A host that has
+had an answer in which an endpoint says that it leaves sends it nothing more,
+neither for itself nor for other hosts.
 """
 
+import dataclasses
+
 from hypothesis import stateful
 from hypothesis import strategies as st
 import pytest
@@ -12,14 +16,18 @@
 from twisted.internet import defer
 from twisted.web import http_headers
 
+from cairnloom.entry import announcements
 from cairnloom.entry import cluster_state
 from cairnloom.entry import members
 from cairnloom.entry import passing
 from cairnloom.entry import paths
 from cairnloom.entry import upstream
 from cairnloom import exceptions
+from cairnloom.platform import names
+from cairnloom.platform import requests
 from cairnloom.protocol import codec
 from cairnloom.protocol import server
+from cairnloom.routing import endpoint_stats
 from cairnloom.routing import instances
 
 HOST_COUNT = 5
@@ -53,18 +61,23 @@
 
     paths_class = paths.Paths
     passer_class = passing.RequestPasser
+    announcements_class = announcements.Announcements
+    checks_before_sending = True
 
     def __init__(self):
         self.now = 100.0
         self.endpoints = [
             instances.Instance(
-                'e%d' % number, 'desk', '127.0.0.1', 1000 + number, 'a'
+                'e%d' % number, 'desk', '127.0.0.1', 1000 + number, 'a', born=1
             )
             for number in range(ENDPOINT_COUNT)
         ]
         self.down = set()
+        self.leaving = set()
+        self.row_version = 10
         self.received = []
         self.faults = []
+        self.news_while_connecting = False
         self.hosts = [Host(self, number) for number in range(HOST_COUNT)]
 
     def seconds(self):
@@ -96,7 +109,16 @@
             self.cluster.directory.apply(
                 instances.InstanceChange(endpoint.name, version, endpoint), 0.0
             )
-        self.paths = world.paths_class(world, self, self.cluster, self, self)
+        self.announcements = world.announcements_class(
+            requests.read_announcement,
+            self.cluster,
+            endpoint_stats.StatsRegistry(),
+        )
+        self.paths = world.paths_class(
+            world, self, self.cluster, self, self, self.announcements
+        )
+        # The runs that have said in answers to this host that they leave.
+        self.heard = set()
         self.passer = world.passer_class(
             self.paths, self, self.cluster, lambda: False
         )
@@ -127,16 +149,33 @@
         if self.cut or instance.name in self.world.down:
             raise lose_connection(False)
 
+    def raise_objection(self, call):
+        if self.world.checks_before_sending and call.find_objection():
+            raise exceptions.EndpointError('objection', False, withheld=True)
+
     async def open(self, call, connect_seconds=0.5):
         if call.instance.name.startswith('host:'):
             return await self.open_host(call)
+        self.raise_objection(call)
         await self.connect_idle(call.instance, connect_seconds)
+        if self.world.news_while_connecting:
+            self.announcements.receive([call.instance.run_key], 'x', 0.0)
+            self.heard.add(call.instance.run_key)
+        self.raise_objection(call)
+        assert call.instance.run_key not in self.heard, 'sent to one that left'
         self.world.received.append((call.instance.name, call.request))
         if self.world.take_fault():
             raise lose_connection(True)
-        return FakeResponse(200)
+        return self.answer(call.instance)
+
+    def answer(self, instance):
+        if instance.run_key not in self.world.leaving:
+            return FakeResponse(200)
+        self.heard.add(instance.run_key)
+        return FakeResponse(200, [(names.LEAVING, b'1')])
 
     async def open_host(self, call):
+        self.raise_objection(call)
         target = self.world.hosts[call.instance.port]
         if not target.alive:
             raise lose_connection(False)
@@ -188,8 +227,9 @@
         host=state_machines.INDEX,
         endpoint=state_machines.INDEX,
         faults=st.lists(st.sampled_from(['', 'before', 'after']), max_size=6),
+        news_while_connecting=st.booleans(),
     )
-    def send(self, host, endpoint, faults):
+    def send(self, host, endpoint, faults, news_while_connecting):
         world = self.world
         sender = world.hosts[host % HOST_COUNT]
         if not sender.alive:
@@ -198,15 +238,27 @@
         self.request_count += 1
         request = 'r%d' % self.request_count
         world.faults = list(faults)
+        world.news_while_connecting = news_while_connecting
+        had_heard = target.run_key in sender.heard
         result = send(world, sender, target, request)
         world.faults = []
+        world.news_while_connecting = False
+        if had_heard:
+            assert not isinstance(
+                result, FakeResponse
+            ), 'sent to one that left'
+            assert not result.may_have_run
+            return
+        if isinstance(result, FakeResponse):
+            if result.headers.hasHeader(names.LEAVING):
+                sender.heard.add(target.run_key)
         run_count = world.received.count((target.name, request))
         assert run_count <= 1, 'sent twice'
         if isinstance(result, FakeResponse):
             assert run_count == 1, 'answered without a run'
             return
         assert result.may_have_run or not run_count, 'run, but denied'
-        if any(faults):
+        if any(faults) or getattr(result, 'withheld', False):
             return
         is_sound = target.name not in world.down
         if not sender.cut:
@@ -221,6 +273,11 @@
         if is_sound and others_are_aware:
             assert result.own_path, 'sound endpoint blamed'
 
+    @stateful.rule(endpoint=state_machines.INDEX)
+    def send_at_every_host(self, endpoint):
+        for host in range(HOST_COUNT):
+            self.send(host, endpoint, [], False)
+
     @stateful.rule(number=state_machines.INDEX, cut=st.booleans())
     def cut(self, number, cut):
         self.world.hosts[number % HOST_COUNT].cut = cut
@@ -247,6 +304,35 @@
         change = instances.InstanceChange(target.name, 100, None)
         directory.apply(change, self.world.now)
 
+    @stateful.rule(endpoint=state_machines.INDEX)
+    def say_leaving(self, endpoint):
+        target = self.world.endpoints[endpoint % ENDPOINT_COUNT]
+        self.world.leaving.add(target.run_key)
+
+    @stateful.rule(host=state_machines.INDEX, endpoint=state_machines.INDEX)
+    def write_ready_row(self, host, endpoint):
+        """Have a host read a newer row of the same run."""
+        self.world.row_version += 1
+        target = self.world.endpoints[endpoint % ENDPOINT_COUNT]
+        self.apply_row(self.world.hosts[host % HOST_COUNT], target)
+
+    def apply_row(self, host, endpoint):
+        change = instances.InstanceChange(
+            endpoint.name, self.world.row_version, endpoint
+        )
+        host.cluster.directory.apply(change, self.world.now)
+
+    @stateful.rule(endpoint=state_machines.INDEX)
+    def restart_endpoint(self, endpoint):
+        world = self.world
+        index = endpoint % ENDPOINT_COUNT
+        world.row_version += 1
+        world.endpoints[index] = dataclasses.replace(
+            world.endpoints[index], born=world.row_version
+        )
+        for host in world.hosts:
+            self.apply_row(host, world.endpoints[index])
+
     @stateful.rule(seconds=st.sampled_from([0.1, 1.0, 3.0, 40.0]))
     def pass_time(self, seconds):
         self.world.now += seconds
@@ -287,8 +373,30 @@
         return False
 
 
+class UnreadingPaths(paths.Paths):
+    """Does not read what endpoints say of themselves."""
+
+    def note_answer(self, instance, status, headers):
+        pass
+
+
+class HalfReadingPaths(paths.Paths):
+    """Reads only the answers to its own requests, not those passed on."""
+
+    async def open(self, call):
+        checked_call = dataclasses.replace(
+            call, find_objection=lambda: self.find_objection(call.instance)
+        )
+        response = await self._open_any_way(checked_call)
+        super().note_answer(call.instance, response.status, response.headers)
+        return response
+
+    def note_answer(self, instance, status, headers):
+        pass
+
+
 def test_request_reaches_its_endpoint_at_most_once():
-    state_machines.run(PathMachine, 400, 40)
+    state_machines.run(PathMachine, 1000, 40)
 
 
 @pytest.mark.parametrize(
@@ -297,6 +405,9 @@
         ({'paths_class': RetryingPaths}, 'sent twice|run, but denied'),
         ({'passer_class': ChainingPasser}, 'passed on twice'),
         ({'paths_class': BlamingPaths}, 'sound endpoint blamed'),
+        ({'paths_class': UnreadingPaths}, 'sent to one that left'),
+        ({'paths_class': HalfReadingPaths}, 'sent to one that left'),
+        ({'checks_before_sending': False}, 'sent to one that left'),
     ],
 )
 def test_faulty_paths_are_caught(faulty_classes, failure):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -290,8 +290,8 @@
 
 def test_other_instance_does_not_announce_that_this_one_leaves():
     headers = http_headers.Headers({b'Server-Leaving': [b'1']})
-    assert requests.read_head(503, headers).leaving
-    assert not requests.read_head(421, headers).leaving
+    assert requests.read_announcement(503, headers).leaving
+    assert not requests.read_announcement(421, headers).leaving
 
 
 def test_limit_in_an_answer_of_another_instance_is_ignored():
