--- a/src/cairnloom/entry/announcements.py
+++ b/src/cairnloom/entry/announcements.py
@@ -1,11 +1,14 @@
-"""What endpoints say of themselves in their answers: that they leave.
+"""What endpoints say of themselves in their answers: they leave, or pause.
 
 Read from every answer before anything else is made of it, and asked right
 before every send. An endpoint that leaves gets no new work in this run of it,
-whatever its row says; the hubs are told.
+whatever its row says; the hubs are told. An endpoint that asks for a pause
+gets no request from this host until it is over; the host that schedules model
+work is told, and prefers other endpoints meanwhile.
 """
 
 import collections
+import dataclasses
 from typing import Callable
 
 from twisted.web import http_headers
@@ -13,6 +16,7 @@
 from ..routing import endpoint_stats
 from ..routing import instances
 from ..routing import work
+from ..runtime import logs
 
 from . import cluster_state
 
@@ -20,17 +24,29 @@
 # ones are dropped first.
 MAX_REPORTS = 1024
 REPORTS_PER_MESSAGE = 64
+# The longest pause that an endpoint can ask for.
+MAX_PAUSE_SECONDS = 300.0
 # So many endpoints that this host must not use are named with a request that
 # another host places.
 MAX_NAMES_PER_PLACEMENT = 64
+MAX_LOGGED_CHARACTERS = 40
+
+
+@dataclasses.dataclass(frozen=True)
+class _Pause:
+    """The time until which a run of an endpoint wants no requests."""
+
+    instance: instances.Instance
+    until: float
 
 
 class Announcements:
-    """The endpoints that leave, as this host knows them.
+    """The endpoints that leave or pause, as this host knows them.
 
     ``on_leaving`` is called with the run of an endpoint that was the first to
-    tell this host that it leaves. ``read_announcement`` decodes the head of an
-    answer.
+    tell this host that it leaves, and ``on_pause`` with an endpoint that
+    pauses and for how many seconds. ``read_announcement`` decodes the head of
+    an answer.
     """
 
     def __init__(
@@ -49,7 +65,11 @@
         )
         self._report_count = 0
         self._told: dict[str, int] = {}
+        self._pauses: dict[tuple[str, int], _Pause] = {}
         self.on_leaving: Callable[[str], None] = lambda run_key: None
+        self.on_pause: Callable[[instances.Instance, float], None] = (
+            lambda instance, seconds: None
+        )
 
     def note_answer(
         self,
@@ -62,6 +82,8 @@
         announcement = self._read_announcement(status, headers)
         if announcement.leaving:
             self.note_leaving(instance, now)
+        if announcement.pause_text:
+            self._note_pause(instance, announcement, now)
 
     def note_leaving(self, instance: instances.Instance, now: float) -> None:
         """Record that an endpoint has told this host that it leaves."""
@@ -77,6 +99,13 @@
             if identity is not None:
                 self._cluster_state.note_leaving(identity, host, now)
 
+    def receive_pause(self, run_key: str, seconds: float, now: float) -> None:
+        """Take note of a pause that an endpoint asked another host for."""
+        name = run_key.rpartition('/')[0]
+        instance = self._cluster_state.directory.find(name)
+        if instance is not None and instance.run_key == run_key:
+            self._stats.for_instance(instance).note_pause(seconds, now)
+
     def list_untold(self, hub: str) -> list[str]:
         """Return runs that leave and that a hub was not told of yet.
 
@@ -105,6 +134,12 @@
             if directory.is_listed(instance):
                 return 'endpoint is leaving'
             return 'endpoint has left'
+        return self.find_pause(instance, now)
+
+    def find_pause(self, instance: instances.Instance, now: float) -> str:
+        """Return why nothing at all may be sent to an endpoint, or ''."""
+        if self.measure_pause(instance, now):
+            return 'endpoint asked for a pause'
         return ''
 
     def list_unusable(self, service: str, now: float) -> list[str]:
@@ -118,4 +153,59 @@
             for instance in directory.list_leaving(service)
             if not directory.is_usable(instance, now)
         ]
+        names += [
+            instance.name
+            for instance in self.list_paused(now)
+            if directory.is_listed(instance)
+        ]
         return names[:MAX_NAMES_PER_PLACEMENT]
+
+    def list_paused(self, now: float) -> list[instances.Instance]:
+        """Return the endpoints that want no requests from this host now."""
+        for identity, pause in list(self._pauses.items()):
+            if now >= pause.until:
+                del self._pauses[identity]
+        return [pause.instance for pause in self._pauses.values()]
+
+    def find_shortest_pause(self, service: str, now: float) -> float | None:
+        """Return when the first endpoint of a service ends its pause.
+
+        In seconds from now; None if none of its endpoints pauses.
+        """
+        pauses = [
+            self.measure_pause(instance, now)
+            for instance in self.list_paused(now)
+            if instance.service == service
+            and self._cluster_state.directory.is_listed(instance)
+        ]
+        return min(pauses, default=None)
+
+    def measure_pause(self, instance: instances.Instance, now: float) -> float:
+        """Return for how many seconds an endpoint wants no requests."""
+        pause = self._pauses.get(instance.identity)
+        return max(0.0, pause.until - now) if pause else 0.0
+
+    def _note_pause(
+        self,
+        instance: instances.Instance,
+        announcement: work.Announcement,
+        now: float,
+    ) -> None:
+        seconds = announcement.pause
+        if seconds is None:
+            logs.log_event(
+                'pause_ignored',
+                endpoint=instance.name,
+                asked=announcement.pause_text[:MAX_LOGGED_CHARACTERS],
+            )
+            return
+        pause_seconds = min(seconds, MAX_PAUSE_SECONDS)
+        logs.log_event(
+            'endpoint_pauses',
+            endpoint=instance.name,
+            seconds=pause_seconds,
+            asked=announcement.pause_text[:MAX_LOGGED_CHARACTERS],
+        )
+        until = now + max(pause_seconds, self.measure_pause(instance, now))
+        self._pauses[instance.identity] = _Pause(instance, until)
+        self.on_pause(instance, pause_seconds)
--- a/src/cairnloom/entry/forwarding.py
+++ b/src/cairnloom/entry/forwarding.py
@@ -94,7 +94,7 @@
             if endpoint is None and shortest_wait is not None:
                 return outcomes.Rejected('rate limit', shortest_wait)
             if endpoint is None:
-                return outcomes.Rejected('no endpoint')
+                return request.reject_without_endpoint('no endpoint')
             wait_seconds = await self._host.scheduler_client.take_permit(
                 endpoint
             )
--- a/src/cairnloom/entry/generation.py
+++ b/src/cairnloom/entry/generation.py
@@ -76,6 +76,8 @@
                     # lost, and the prompt may be prefilled again.
                     self._free_cache()
                     return outcomes.NotRun(reason, False)
+                if reason == 'no engine':
+                    return self._request.reject_without_endpoint(reason)
                 return outcomes.Rejected(reason, seconds_late)
             case scheduler.Placement():
                 return await self._run_placement(decision)
--- a/src/cairnloom/entry/hubs.py
+++ b/src/cairnloom/entry/hubs.py
@@ -341,6 +341,10 @@
         )
         host.rate_limits.merge(message.limits, host.now())
         host.announcements.receive(message.leaving, message.host, host.now())
+        for pause in message.pauses:
+            host.announcements.receive_pause(
+                pause.endpoint, pause.seconds, host.now()
+            )
         for report in message.streams:
             origins.receive(report)
         for event in message.notes:
--- a/src/cairnloom/entry/messages.py
+++ b/src/cairnloom/entry/messages.py
@@ -113,6 +113,14 @@
     refused: scheduler.PlacementRefused | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class PauseReport:
+    """For how many seconds an endpoint wants no requests from a host."""
+
+    endpoint: str
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True)
 class PlacementEvents:
     """Events of placed requests, in the order in which they happened.
@@ -120,7 +128,8 @@
     ``crashes`` are new reports of requests that may have crashed an engine,
     ``limits`` new limits that endpoints have named, and ``streams`` the
     versions that began streams. ``leaving`` are runs of endpoints that have
-    told ``host`` that they leave.
+    told ``host`` that they leave, and ``pauses`` the pauses that endpoints
+    have asked it for.
     """
 
     notes: list[scheduler.PlacementEvent]
@@ -134,6 +143,7 @@
         default_factory=list
     )
     leaving: list[str] = dataclasses.field(default_factory=list)
+    pauses: list[PauseReport] = dataclasses.field(default_factory=list)
     host: str = ''
 
 
--- a/src/cairnloom/entry/paths.py
+++ b/src/cairnloom/entry/paths.py
@@ -101,6 +101,12 @@
             instance, self._reactor.seconds()
         )
 
+    def find_pause(self, instance: instances.Instance) -> str:
+        """Return why nothing at all may be sent to an endpoint, or ''."""
+        return self._announcements.find_pause(
+            instance, self._reactor.seconds()
+        )
+
     def note_leaving(self, instance: instances.Instance) -> None:
         """Record that an endpoint has told this host that it leaves."""
         self._announcements.note_leaving(instance, self._reactor.seconds())
@@ -125,11 +131,13 @@
         ``may_have_run`` is false if nothing was sent, and whose ``own_path``
         is set if the endpoint may not be at fault.
         """
-        if not call.is_control:
-            call = dataclasses.replace(
-                call, find_objection=lambda: self.find_objection(call.instance)
-            )
-        response = await self._open_any_way(call)
+        find_objection = (
+            self.find_pause if call.is_control else self.find_objection
+        )
+        checked_call = dataclasses.replace(
+            call, find_objection=lambda: find_objection(call.instance)
+        )
+        response = await self._open_any_way(checked_call)
         self.note_answer(call.instance, response.status, response.headers)
         return response
 
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -172,6 +172,7 @@
             platform.header_codec.read_announcement, cluster, stats
         )
         own_announcements.on_leaving = own_scheduler_client.report_leaving
+        own_announcements.on_pause = own_scheduler_client.report_pause
         cluster.directory.grace_seconds = max(
             0.0, host_settings.bounds.drain - NEWS_SECONDS
         )
@@ -421,6 +422,10 @@
         gauges.gauge('store_writes', self._platform.store.writes)
         gauges.gauge('connections_opened', host.upstream.opened_count)
         gauges.gauge('refused_parts', len(host.crashing_parts.list_refusals()))
+        gauges.gauge(
+            'paused_endpoints',
+            len(host.announcements.list_paused(host.now())),
+        )
         gauges.gauge('broken_paths', len(self._paths.list_broken()))
         gauges.gauge('passed_on', self._passer.passed_on)
         return server.JsonResponse(gauges.render().encode(), 200, 'text/plain')
--- a/src/cairnloom/entry/requests.py
+++ b/src/cairnloom/entry/requests.py
@@ -10,9 +10,11 @@
 from ..routing import routes
 from ..routing import scheduler
 from ..routing import work
+from ..runtime import concurrency
 from ..runtime import logs
 
 from . import cluster_state
+from . import outcomes
 from . import state
 
 
@@ -144,8 +146,21 @@
             if instance.role in (role, '')
             and instance.name not in tried
             and self.may_run_on(instance)
+            and not self.host.paths.find_pause(instance)
         ]
 
+    def reject_without_endpoint(self, reason: str) -> outcomes.Rejected:
+        """Return the outcome if no endpoint takes the request.
+
+        If endpoints have asked for a pause, it names the end of the first one.
+        """
+        pause_seconds = self.host.announcements.find_shortest_pause(
+            self.service.name, self.host.now()
+        )
+        if pause_seconds is None:
+            return outcomes.Rejected(reason)
+        return outcomes.Rejected('endpoints pause', pause_seconds)
+
     def note_event(self) -> None:
         """Record the time at which an event of the answer is passed on."""
         now = self.host.now()
@@ -246,7 +261,7 @@
     def free_cache(self, holder: instances.Instance, handle: str) -> None:
         """Have an engine free a KV cache that no decode will use."""
         task = defer.Deferred.fromCoroutine(
-            self.host.engines.free_cache(holder, handle)
+            self._free_cache_after_pause(holder, handle)
         )
         task.addErrback(
             lambda reason: logs.log_event(
@@ -255,3 +270,17 @@
                 reason=reason.getErrorMessage(),
             )
         )
+
+    async def _free_cache_after_pause(
+        self, holder: instances.Instance, handle: str
+    ) -> None:
+        """Have an engine free a KV cache, unless it lapses before that."""
+        pause_seconds = self.host.announcements.measure_pause(
+            holder, self.host.now()
+        )
+        spec = self.service.engine
+        if spec is not None and pause_seconds >= spec.handle_seconds:
+            return
+        if pause_seconds:
+            await concurrency.sleep(self.host.reactor, pause_seconds)
+        await self.host.engines.free_cache(holder, handle)
--- a/src/cairnloom/entry/scheduler_client.py
+++ b/src/cairnloom/entry/scheduler_client.py
@@ -158,6 +158,16 @@
             self._collect(hub).leaving.append(run_key)
             self._schedule_flush(hub, EVENT_DELAY_SECONDS)
 
+    def report_pause(
+        self, instance: instances.Instance, seconds: float
+    ) -> None:
+        """Report a pause that an endpoint has asked for."""
+        hub = self._choose_hub()
+        if hub is not None:
+            report = messages.PauseReport(instance.run_key, seconds)
+            self._collect(hub).pauses.append(report)
+            self._schedule_flush(hub, EVENT_DELAY_SECONDS)
+
     async def take_permit(self, endpoint: instances.Instance) -> float:
         """Count a request to an endpoint against its limit, if it has one.
 
--- a/src/cairnloom/entry/status.py
+++ b/src/cairnloom/entry/status.py
@@ -16,6 +16,7 @@
     the endpoint after failures. ``cached_parts`` is the number of prompt parts
     that this host has recorded as cached there. ``rate_limit`` is the number
     of requests per second to which the endpoint limits all hosts together.
+    ``pause`` is for how many seconds it wants no requests from this host.
     """
 
     name: str
@@ -31,6 +32,7 @@
     cached_parts: int
     rate_limit: float | None
     software: str | None
+    pause: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -90,6 +92,7 @@
                 len(stats.parts),
                 limit.rate if limit else None,
                 instance.software,
+                host.announcements.measure_pause(instance, now),
             )
         )
     return HostStatus(
--- a/src/cairnloom/platform/engines.py
+++ b/src/cairnloom/platform/engines.py
@@ -61,6 +61,9 @@
     ) -> client.Reply:
         """Send a call that may be repeated, and read its reply."""
 
+    def find_pause(self, instance: instances.Instance) -> str:
+        """Return why nothing may be sent to an engine now, or ''."""
+
     def note_answer(
         self,
         instance: instances.Instance,
@@ -161,6 +164,9 @@
             return await self.paths.exchange(
                 instance, method, path, headers, TIMEOUT_SECONDS
             )
+        pause = self.paths.find_pause(instance) if self.paths else ''
+        if pause:
+            raise exceptions.EndpointError(pause, False, withheld=True)
         try:
             reply = await self._http.exchange(
                 method, url, body, TIMEOUT_SECONDS, headers
--- a/src/cairnloom/platform/requests.py
+++ b/src/cairnloom/platform/requests.py
@@ -18,6 +18,7 @@
 
 # The endpoint is not the expected instance, and did not run the request.
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 _BEARER_PREFIX = 'bearer '
 # Further parts are ignored: no engine could hold a prompt of more parts.
 _MAX_PARTS = 256
@@ -116,7 +117,14 @@
     if status == _MISDIRECTED:
         # Another endpoint answers at the address of the expected one.
         return work.Announcement()
-    return work.Announcement(leaving=headers.hasHeader(names.LEAVING))
+    pause_text = ''
+    if status == _UNAVAILABLE:
+        pause_text = _first_value(headers, names.RETRY_AFTER)
+    return work.Announcement(
+        leaving=headers.hasHeader(names.LEAVING),
+        pause=_parse_quantity(pause_text),
+        pause_text=pause_text,
+    )
 
 
 def read_idle_timeout(headers: http_headers.Headers) -> float | None:
--- a/src/cairnloom/routing/endpoint_stats.py
+++ b/src/cairnloom/routing/endpoint_stats.py
@@ -247,7 +247,7 @@
             MAX_AVOID_SECONDS, FIRST_AVOID_SECONDS * 2**self.failures
         )
         self.failures += 1
-        self.avoid_until = now + avoid_seconds
+        self.avoid_until = max(self.avoid_until, now + avoid_seconds)
 
     def note_success(self) -> None:
         """Stop avoiding the endpoint."""
@@ -258,6 +258,15 @@
         """Return whether the endpoint is avoided because it failed."""
         return now < self.avoid_until
 
+    def note_pause(self, seconds: float, now: float) -> None:
+        """Avoid the endpoint, which has asked another host for a pause.
+
+        It may take requests of this host all the same, so one is tried after
+        a while.
+        """
+        avoid_seconds = min(seconds, MAX_AVOID_SECONDS)
+        self.avoid_until = max(self.avoid_until, now + avoid_seconds)
+
 
 def _sum_tokens_ahead(pending: dict[int, int], urgency: int) -> int:
     return sum(
--- a/src/cairnloom/routing/work.py
+++ b/src/cairnloom/routing/work.py
@@ -132,10 +132,14 @@
 class Announcement:
     """What an endpoint says of itself in the head of an answer.
 
-    ``leaving`` is true if it is about to shut down.
+    ``leaving`` is true if it is about to shut down. If it wants no requests
+    from this host for a while, ``pause`` is that time in seconds, or None if
+    ``pause_text``, as it was sent, can't be read.
     """
 
     leaving: bool = False
+    pause: float | None = None
+    pause_text: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/test_path_choice.py
+++ b/tests/test_path_choice.py
@@ -3,8 +3,8 @@
 A state machine runs the paths of several hosts, which are cut off, killed,
 restarted or of an older build, with calls between them that are lost before or
 after they had an effect, and endpoints that go down and leave. A host that has
-had an answer in which an endpoint says that it leaves sends it nothing more,
-neither for itself nor for other hosts.
+had an answer in which an endpoint says that it leaves, or asks for a pause,
+sends it nothing more, neither for itself nor for other hosts.
 """
 
 import dataclasses
@@ -74,6 +74,7 @@
         ]
         self.down = set()
         self.leaving = set()
+        self.pausing = {}
         self.row_version = 10
         self.received = []
         self.faults = []
@@ -119,6 +120,7 @@
         )
         # The runs that have said in answers to this host that they leave.
         self.heard = set()
+        self.paused_until = {}
         self.passer = world.passer_class(
             self.paths, self, self.cluster, lambda: False
         )
@@ -163,12 +165,18 @@
             self.heard.add(call.instance.run_key)
         self.raise_objection(call)
         assert call.instance.run_key not in self.heard, 'sent to one that left'
+        paused_until = self.paused_until.get(call.instance.run_key, 0.0)
+        assert self.world.now >= paused_until, 'sent during a pause'
         self.world.received.append((call.instance.name, call.request))
         if self.world.take_fault():
             raise lose_connection(True)
         return self.answer(call.instance)
 
     def answer(self, instance):
+        if instance.run_key in self.world.pausing:
+            seconds = self.world.pausing[instance.run_key]
+            self.paused_until[instance.run_key] = self.world.now + seconds
+            return FakeResponse(503, [(names.RETRY_AFTER, b'%.1f' % seconds)])
         if instance.run_key not in self.world.leaving:
             return FakeResponse(200)
         self.heard.add(instance.run_key)
@@ -309,6 +317,17 @@
         target = self.world.endpoints[endpoint % ENDPOINT_COUNT]
         self.world.leaving.add(target.run_key)
 
+    @stateful.rule(
+        endpoint=state_machines.INDEX,
+        seconds=st.sampled_from([0.0, 0.5, 5.0]),
+    )
+    def ask_for_pause(self, endpoint, seconds):
+        """Have an endpoint turn requests away, or no longer."""
+        target = self.world.endpoints[endpoint % ENDPOINT_COUNT]
+        self.world.pausing[target.run_key] = seconds
+        if not seconds:
+            del self.world.pausing[target.run_key]
+
     @stateful.rule(host=state_machines.INDEX, endpoint=state_machines.INDEX)
     def write_ready_row(self, host, endpoint):
         """Have a host read a newer row of the same run."""
