--- a/src/cairnloom/entry/announcements.py
+++ b/src/cairnloom/entry/announcements.py
@@ -8,13 +8,13 @@
 """
 
 import collections
-import dataclasses
 from typing import Callable
 
 from twisted.web import http_headers
 
 from ..routing import endpoint_stats
 from ..routing import instances
+from ..routing import pauses
 from ..routing import work
 from ..runtime import logs
 
@@ -24,22 +24,12 @@
 # ones are dropped first.
 MAX_REPORTS = 1024
 REPORTS_PER_MESSAGE = 64
-# The longest pause that an endpoint can ask for.
-MAX_PAUSE_SECONDS = 300.0
 # So many endpoints that this host must not use are named with a request that
 # another host places.
 MAX_NAMES_PER_PLACEMENT = 64
 MAX_LOGGED_CHARACTERS = 40
 
 
-@dataclasses.dataclass(frozen=True)
-class _Pause:
-    """The time until which a run of an endpoint wants no requests."""
-
-    instance: instances.Instance
-    until: float
-
-
 class Announcements:
     """The endpoints that leave or pause, as this host knows them.
 
@@ -65,7 +55,7 @@
         )
         self._report_count = 0
         self._told: dict[str, int] = {}
-        self._pauses: dict[tuple[str, int], _Pause] = {}
+        self._pauses = pauses.Pauses()
         self.on_leaving: Callable[[str], None] = lambda run_key: None
         self.on_pause: Callable[[instances.Instance, float], None] = (
             lambda instance, seconds: None
@@ -153,37 +143,36 @@
             for instance in directory.list_leaving(service)
             if not directory.is_usable(instance, now)
         ]
-        names += [
-            instance.name
-            for instance in self.list_paused(now)
-            if directory.is_listed(instance)
-        ]
+        names += [instance.name for instance in self.list_paused(now)]
         return names[:MAX_NAMES_PER_PLACEMENT]
 
     def list_paused(self, now: float) -> list[instances.Instance]:
-        """Return the endpoints that want no requests from this host now."""
-        for identity, pause in list(self._pauses.items()):
-            if now >= pause.until:
-                del self._pauses[identity]
-        return [pause.instance for pause in self._pauses.values()]
+        """Return the listed endpoints that want no requests from this host."""
+        paused = []
+        for run_key in self._pauses.list_runs(now):
+            name = run_key.rpartition('/')[0]
+            instance = self._cluster_state.directory.find(name)
+            if instance is not None and instance.run_key == run_key:
+                paused.append(instance)
+        return paused
 
     def find_shortest_pause(self, service: str, now: float) -> float | None:
         """Return when the first endpoint of a service ends its pause.
 
         In seconds from now; None if none of its endpoints pauses.
         """
-        pauses = [
-            self.measure_pause(instance, now)
-            for instance in self.list_paused(now)
-            if instance.service == service
-            and self._cluster_state.directory.is_listed(instance)
-        ]
-        return min(pauses, default=None)
+        return min(
+            (
+                self.measure_pause(instance, now)
+                for instance in self.list_paused(now)
+                if instance.service == service
+            ),
+            default=None,
+        )
 
     def measure_pause(self, instance: instances.Instance, now: float) -> float:
         """Return for how many seconds an endpoint wants no requests."""
-        pause = self._pauses.get(instance.identity)
-        return max(0.0, pause.until - now) if pause else 0.0
+        return self._pauses.measure(instance.run_key, now)
 
     def _note_pause(
         self,
@@ -199,13 +188,11 @@
                 asked=announcement.pause_text[:MAX_LOGGED_CHARACTERS],
             )
             return
-        pause_seconds = min(seconds, MAX_PAUSE_SECONDS)
+        pause_seconds = self._pauses.note(instance.run_key, seconds, now)
         logs.log_event(
             'endpoint_pauses',
             endpoint=instance.name,
-            seconds=pause_seconds,
+            seconds=round(pause_seconds, 3),
             asked=announcement.pause_text[:MAX_LOGGED_CHARACTERS],
         )
-        until = now + max(pause_seconds, self.measure_pause(instance, now))
-        self._pauses[instance.identity] = _Pause(instance, until)
         self.on_pause(instance, pause_seconds)
--- a/src/cairnloom/platform/requests.py
+++ b/src/cairnloom/platform/requests.py
@@ -12,6 +12,7 @@
 from twisted.web import http_headers
 
 from .. import exceptions
+from ..protocol import quantities
 from ..routing import work
 
 from . import names
@@ -28,7 +29,7 @@
 
 def read_metadata(headers: http_headers.Headers) -> work.RequestMetadata:
     """Read a caller's headers; those that can't be decoded count as absent."""
-    deadline = _parse_quantity(_first_value(headers, names.DEADLINE))
+    deadline = quantities.parse_quantity(_first_value(headers, names.DEADLINE))
     return work.RequestMetadata(
         request_id=_first_value(headers, names.REQUEST_ID),
         patience=None if deadline is None else deadline / 1000,
@@ -122,7 +123,7 @@
         pause_text = _first_value(headers, names.RETRY_AFTER)
     return work.Announcement(
         leaving=headers.hasHeader(names.LEAVING),
-        pause=_parse_quantity(pause_text),
+        pause=quantities.parse_quantity(pause_text),
         pause_text=pause_text,
     )
 
@@ -240,7 +241,7 @@
     # An answer of another instance says nothing of the expected one.
     if status == _MISDIRECTED:
         return None
-    return _parse_quantity(_first_value(headers, names.RATE_LIMIT))
+    return quantities.parse_quantity(_first_value(headers, names.RATE_LIMIT))
 
 
 def _first_value(headers: http_headers.Headers, name: bytes) -> str:
@@ -253,11 +254,3 @@
     if not digits.isascii() or not digits.isdigit():
         return None
     return int(digits)
-
-
-def _parse_quantity(text: str) -> float | None:
-    try:
-        quantity = float(text)
-    except ValueError:
-        return None
-    return quantity if math.isfinite(quantity) and quantity >= 0 else None
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -10,9 +10,9 @@
 import pytest
 from twisted.web import http_headers
 
-from cairnloom.entry import announcements
 from cairnloom import exceptions
 from cairnloom.platform import requests
+from cairnloom.routing import pauses
 from cairnloom.standins import atlas
 
 
@@ -130,7 +130,7 @@
     pause = context.announcements.measure_pause(
         directory.find('d0'), context.now()
     )
-    assert 200 < pause <= announcements.MAX_PAUSE_SECONDS
+    assert 200 < pause <= pauses.MAX_PAUSE_SECONDS
 
 
 def test_next_run_of_an_endpoint_that_paused_is_used(deploy):
