--- a/src/cairnloom/backing/services.py
+++ b/src/cairnloom/backing/services.py
@@ -41,7 +41,8 @@
     ``checks_fence`` the endpoint refuses orders with a fencing token lower
     than the highest it has seen. ``order_id`` names the order that started it,
     if there was one. ``software`` is the version of its software; an answer
-    that one version has begun can't go on at another.
+    that one version has begun can't go on at another. ``born`` is the start
+    time of this run of the endpoint in Unix milliseconds, 0 if unknown.
     """
 
     endpoint: str
@@ -54,6 +55,12 @@
     state: Literal['starting', 'running', 'leaving'] = 'running'
     order_id: str = ''
     software: str = ''
+    born: int = 0
+
+    @property
+    def run_key(self) -> str:
+        """A key that differs between runs of the endpoint."""
+        return '%s/%s/%d' % (self.endpoint, self.address, self.born)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/endpoints/engines.py
+++ b/src/cairnloom/endpoints/engines.py
@@ -1,20 +1,32 @@
 """Client for the control interface of model engines: load reports and orders.
 
 Completion requests do not go through this module. The gateway's dispatch sends
-them through the same API that callers use to reach the gateway.
+them through the same API that callers use to reach the gateway. The headers of
+all endpoints are named here, also those of plain services.
 """
 
 import dataclasses
 from typing import Literal
 
+from twisted.web import http_headers
+
 from .. import exceptions
 from ..protocol import client
 from ..protocol import codec
+from ..protocol import quantities
+from ..routing import work
 
 TIMEOUT_SECONDS = 2.0
 REQUEST_ID_HEADER = 'Cairnloom-Request'
 ATTEMPT_HEADER = 'Cairnloom-Attempt'
 RESUME_HEADER = 'Cairnloom-Resume-At'
+# In any answer of an endpoint, it says that the endpoint is about to shut
+# down.
+LEAVING_HEADER = 'Cairnloom-Leaving'
+# In an answer with status 503, the seconds for which the endpoint wants no
+# requests from this gateway.
+RETRY_AFTER_HEADER = 'Retry-After'
+_UNAVAILABLE = 503
 
 Role = Literal['mixed', 'prefill', 'decode']
 
@@ -31,7 +43,7 @@
 
     model: str
     role: Role = 'mixed'
-    state: Literal['serving', 'changing'] = 'serving'
+    state: Literal['serving', 'changing', 'leaving'] = 'serving'
     running: int = 0
     queued_prefill_tokens: int = 0
     slots: int = 1
@@ -53,6 +65,20 @@
     role: Role = 'mixed'
 
 
+def read_announcement(
+    status: int, headers: http_headers.Headers
+) -> work.Announcement:
+    """Read what an endpoint says of itself in the head of an answer."""
+    pause_text = ''
+    if status == _UNAVAILABLE:
+        (pause_text,) = headers.getRawHeaders(RETRY_AFTER_HEADER, [''])[:1]
+    return work.Announcement(
+        leaving=headers.hasHeader(LEAVING_HEADER),
+        pause=quantities.parse_quantity(pause_text),
+        pause_text=pause_text,
+    )
+
+
 class EngineClient:
     """Reads load reports from engines and sends orders, given an address."""
 
@@ -63,9 +89,12 @@
         """Read the load report of one engine."""
         reply = await self._exchange('GET', address + '/load', b'')
         try:
-            return codec.decode(LoadReport, reply.body)
+            report = codec.decode(LoadReport, reply.body)
         except exceptions.ProtocolError as error:
             raise exceptions.EndpointError(str(error), True) from error
+        if read_announcement(reply.status, reply.headers).leaving:
+            return dataclasses.replace(report, state='leaving')
+        return report
 
     async def send_order(self, address: str, order: EngineOrder) -> bool:
         """Send an order once; return whether the engine accepted it."""
--- a/src/cairnloom/gateway/calls.py
+++ b/src/cairnloom/gateway/calls.py
@@ -212,7 +212,7 @@
         # Only a failure to connect makes it certain that nothing was sent.
         self._request.advance(lifecycle.Stage.DISPATCHED)
         try:
-            return await self._state.http.open(
+            reply = await self._state.http.open(
                 http_request.method,
                 endpoint_choice.address + http_request.target,
                 http_request.body,
@@ -229,6 +229,10 @@
             raise exceptions.EndpointError(
                 str(fault), fault.may_have_been_sent
             ) from fault
+        self._state.note_answer(
+            endpoint_choice.run_key, reply.status, reply.headers
+        )
+        return reply
 
     def _send_head(self, status: int, content_type: str) -> None:
         headers = {
--- a/src/cairnloom/gateway/completions.py
+++ b/src/cairnloom/gateway/completions.py
@@ -150,7 +150,13 @@
     async def _attempt(
         self, endpoint_choice: choice.Choice, attempt_number: int
     ) -> exceptions.EndpointError | None:
-        stream = dispatch.EngineStream(self._state.http, self._state.reactor)
+        stream = dispatch.EngineStream(
+            self._state.http,
+            self._state.reactor,
+            lambda status, headers: self._state.note_answer(
+                endpoint_choice.run_key, status, headers
+            ),
+        )
         self._request.cancel = stream.cancel
         self._request.endpoint = endpoint_choice.endpoint
         self._request.may_move = self._claim is None
--- a/src/cairnloom/gateway/dispatch.py
+++ b/src/cairnloom/gateway/dispatch.py
@@ -130,11 +130,20 @@
 
 
 class EngineStream:
-    """A running attempt, with its connection to the engine."""
+    """A running attempt, with its connection to the engine.
 
-    def __init__(self, http: client.HttpClient, reactor: Any) -> None:
+    ``note_answer`` is called with the status and headers of the answer.
+    """
+
+    def __init__(
+        self,
+        http: client.HttpClient,
+        reactor: Any,
+        note_answer: Callable[[int, http_headers.Headers], None],
+    ) -> None:
         self._http = http
         self._reactor = reactor
+        self._note_answer = note_answer
         self._reply: client.StreamedReply | None = None
         self._sink: _EventSink | None = None
         self._cancelled = False
@@ -216,6 +225,7 @@
             raise exceptions.EndpointError(
                 'the reply belongs to another request', may_have_run=True
             )
+        self._note_answer(self._reply.status, self._reply.headers)
         if self._reply.status == 200:
             return
         status = self._reply.status
--- a/src/cairnloom/gateway/gossip.py
+++ b/src/cairnloom/gateway/gossip.py
@@ -208,6 +208,8 @@
         self._state.queue.merge(peer_id, peer_message.served)
         self._state.quarantine.merge(peer_message.marks, now)
         self._state.crashing_parts.merge(peer_message.findings, now)
+        for run_key in peer_message.leaving:
+            self._state.note_leaving(run_key, peer_message.host)
 
     async def _handle_exchange(
         self, request: server.JsonRequest
--- a/src/cairnloom/gateway/monitor.py
+++ b/src/cairnloom/gateway/monitor.py
@@ -31,10 +31,13 @@
         self._state.endpoint_view.undrain(now)
         self._state.quarantine.confirm_marks(now)
         self._state.crashing_parts.remove_expired(now)
+        view = self._state.endpoint_view
+        view.pauses.list_runs(now)
         engines = [
             tracked_endpoint
-            for tracked_endpoint in self._state.endpoint_view.list_endpoints()
+            for tracked_endpoint in view.list_endpoints()
             if tracked_endpoint.entry.kind == 'engine'
+            and not view.pauses.measure(tracked_endpoint.entry.run_key, now)
         ]
         report_count = min(REPORTS_PER_ROUND, len(engines))
         chosen_engines = random.sample(engines, report_count)
@@ -66,6 +69,8 @@
         except exceptions.EndpointError:
             self._state.endpoint_view.note_failure(endpoint, self._state.now())
             return
+        if report.state == 'leaving':
+            self._state.note_leaving(tracked_endpoint.entry.run_key)
         self._state.endpoint_view.note_report(
             endpoint, report, self._state.now()
         )
--- a/src/cairnloom/gateway/program.py
+++ b/src/cairnloom/gateway/program.py
@@ -242,6 +242,9 @@
                 tracked_endpoint.recent_delay(self.state.now()), 3
             ),
             'draining': tracked_endpoint.draining,
+            'objection': self.state.endpoint_view.find_objection(
+                tracked_endpoint.entry.run_key, self.state.now()
+            ),
             'ejected': self.state.now() < tracked_endpoint.ejected_until,
         }
 
--- a/src/cairnloom/gateway/state.py
+++ b/src/cairnloom/gateway/state.py
@@ -9,6 +9,8 @@
 import time
 from typing import Any
 
+from twisted.web import http_headers
+
 from .. import settings
 from ..admission import limits
 from ..admission import predictions
@@ -28,10 +30,12 @@
 from ..routing import retries
 from ..routing import views
 from ..runtime import admin
+from ..runtime import logs
 from ..runtime import metrics
 from ..runtime import runner
 
 MAX_AGE_SECONDS = 1e9
+MAX_LOGGED_CHARACTERS = 40
 
 
 @dataclasses.dataclass
@@ -106,7 +110,39 @@
             served=self.queue.make_message(),
             marks=self.quarantine.list_newest_marks(now),
             findings=self.crashing_parts.list_findings(now),
+            leaving=self.endpoint_view.list_leaving(),
+        )
+
+    def note_answer(
+        self, run_key: str, status: int, headers: http_headers.Headers
+    ) -> None:
+        """Take note of what an endpoint says of itself in an answer."""
+        announcement = engines.read_announcement(status, headers)
+        if announcement.leaving:
+            self.note_leaving(run_key)
+        if not announcement.pause_text:
+            return
+        asked = announcement.pause_text[:MAX_LOGGED_CHARACTERS]
+        if announcement.pause is None:
+            logs.log_event('pause_ignored', endpoint=run_key, asked=asked)
+            return
+        seconds = self.endpoint_view.pauses.note(
+            run_key, announcement.pause, self.now()
         )
+        logs.log_event(
+            'endpoint_pauses',
+            endpoint=run_key,
+            seconds=round(seconds, 3),
+            asked=asked,
+        )
+
+    def note_leaving(self, run_key: str, told_by: str = '') -> None:
+        """Record that an endpoint has said, here or elsewhere, that it leaves.
+
+        ``told_by`` is the host that reports it, empty if it is this one.
+        """
+        if self.endpoint_view.note_leaving(run_key):
+            logs.log_event('endpoint_leaves', name=run_key, told_by=told_by)
 
     def start_membership(self, address: str) -> None:
         """Create the membership view, once this gateway's address is known."""
--- a/src/cairnloom/protocol/messages.py
+++ b/src/cairnloom/protocol/messages.py
@@ -26,6 +26,7 @@
     not restarted since then. ``served`` counts the tokens served per class and
     team; ``marks`` are the crash marks of quarantined requests, and
     ``findings`` what the sender knows of prompt parts that crash engines.
+    ``leaving`` are runs of endpoints that have said that they leave.
     """
 
     host: str
@@ -37,6 +38,7 @@
     served: list[queues.ServedTokens]
     marks: list[quarantine.CrashMark]
     findings: crashing_parts.Findings = crashing_parts.Findings()
+    leaving: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/routing/choice.py
+++ b/src/cairnloom/routing/choice.py
@@ -72,7 +72,7 @@
 
     ``sent`` holds the estimates that the view later compares with the actual
     time to the first token. ``software`` is the version of the endpoint's
-    software.
+    software, and ``run_key`` identifies its run.
     """
 
     endpoint: str
@@ -80,6 +80,7 @@
     failure_domain: str
     sent: views.SentRequest
     software: str = ''
+    run_key: str = ''
 
 
 def hash_text(text: str) -> int:
@@ -295,4 +296,5 @@
         tracked_endpoint.entry.failure_domain,
         sent,
         tracked_endpoint.entry.software,
+        tracked_endpoint.entry.run_key,
     )
--- a/src/cairnloom/routing/views.py
+++ b/src/cairnloom/routing/views.py
@@ -7,14 +7,19 @@
 capacity of a group. From load reports and from the delay of first tokens, it
 slowly learns how much each endpoint differs from this assumption. An endpoint
 that fails repeatedly is ejected for a while, unless too large a share of its
-group is already ejected.
+group is already ejected. One that says it leaves gets no more work in this
+run, whatever the platform's list says, and one that asks for a pause gets none
+until its end.
 """
 
+import collections
 import dataclasses
 
 from ..backing import services
 from ..endpoints import engines
 
+from . import pauses
+
 # An endpoint is ejected for EJECT_SECONDS after this many failures in a row,
 # unless more than MAX_EJECTED_SHARE of its group would be ejected.
 EJECT_AFTER_FAILURES = 2
@@ -41,6 +46,11 @@
 # Without new samples, the learned delay of first tokens halves in this
 # time.
 DELAY_HALF_LIFE_SECONDS = 10.0
+# So many runs of endpoints are remembered as leaving; the earliest ones are
+# forgotten first. Peers are told only of those that the platform still lists
+# as running, and of so many.
+MAX_LEAVING = 4096
+MAX_LEAVING_TOLD = 64
 
 
 @dataclasses.dataclass
@@ -167,6 +177,10 @@
     def __init__(self) -> None:
         self._endpoints: dict[str, TrackedEndpoint] = {}
         self._draining: dict[str, float] = {}
+        self._leaving: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self.pauses = pauses.Pauses()
         self.generation = 0
         self.gateways = 1
 
@@ -341,6 +355,7 @@
         if (
             tracked_endpoint.entry.state != 'running'
             or tracked_endpoint.draining
+            or self.find_objection(tracked_endpoint.entry.run_key, now)
         ):
             return False
         if (
@@ -350,6 +365,39 @@
             return False
         return True
 
+    def note_leaving(self, run_key: str) -> bool:
+        """Record that a run of an endpoint has said that it leaves.
+
+        Returns whether this is new.
+        """
+        if run_key in self._leaving:
+            return False
+        self._leaving[run_key] = None
+        if len(self._leaving) > MAX_LEAVING:
+            self._leaving.popitem(last=False)
+        return True
+
+    def list_leaving(self) -> list[str]:
+        """Return runs that leave although the platform lists them."""
+        if not self._leaving:
+            return []
+        listed_runs = {
+            tracked_endpoint.entry.run_key
+            for tracked_endpoint in self._endpoints.values()
+            if tracked_endpoint.entry.state == 'running'
+        }
+        return [run for run in self._leaving if run in listed_runs][
+            -MAX_LEAVING_TOLD:
+        ]
+
+    def find_objection(self, run_key: str, now: float) -> str:
+        """Return why a run of an endpoint must get no new work, or ''."""
+        if run_key in self._leaving:
+            return 'endpoint is leaving'
+        if self.pauses.measure(run_key, now):
+            return 'endpoint asked for a pause'
+        return ''
+
     def groups(self) -> dict[str, list[TrackedEndpoint]]:
         """Return the endpoints by group name."""
         endpoints_by_group: dict[str, list[TrackedEndpoint]] = {}
@@ -392,7 +440,7 @@
         tracked_endpoint = self._endpoints.get(entry.endpoint)
         if (
             tracked_endpoint is None
-            or tracked_endpoint.entry.address != entry.address
+            or tracked_endpoint.entry.run_key != entry.run_key
         ):
             report = engines.LoadReport(entry.model, slots=0)
             if entry.kind == 'service':
--- a/src/cairnloom/standins/engine.py
+++ b/src/cairnloom/standins/engine.py
@@ -11,12 +11,13 @@
 import json
 from typing import Any
 
-from twisted.web import resource
 from twisted.web import server as web_server
 
 from ..endpoints import engines
 from ..protocol import codec
 
+from . import announcing
+
 # A prompt that contains this text crashes the engine.
 CRASH_MARK = 'crash-this-engine'
 DEFAULT_TOKENS = 24
@@ -58,7 +59,7 @@
     crossed_answers_left: int = 0
 
 
-class EngineResource(resource.Resource):
+class EngineResource(announcing.AnnouncingResource):
     """HTTP resource of the engine: load reports, orders and completions.
 
     ``cut_by_order`` counts the streams that orders to change role have reset.
@@ -80,6 +81,7 @@
         if self.state.down:
             _abort(request)
             return web_server.NOT_DONE_YET
+        self.announce(request)
         path = request.path.decode()
         if path == '/load':
             return codec.encode(self._report())
@@ -144,6 +146,8 @@
         self.header_names.update(
             name.decode().lower() for name, _ in raw_headers
         )
+        if self.turn_away(request):
+            return b'{"error":{"message":"busy","type":"unavailable"}}'
         if self.state.changing:
             request.setResponseCode(503)
             return b'{"error":{"message":"changing","type":"unavailable"}}'
--- a/src/cairnloom/standins/fleet.py
+++ b/src/cairnloom/standins/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import time
 from typing import Any
 
 from twisted.internet import defer
@@ -129,6 +130,10 @@
 
     def _restart(self, running_endpoint: _RunningEndpoint, port: int) -> None:
         if running_endpoint.entry.endpoint in self._endpoints:
+            running_endpoint.resource.leaving = False
+            running_endpoint.entry = dataclasses.replace(
+                running_endpoint.entry, born=_read_unix_milliseconds()
+            )
             running_endpoint.port = self._listen(
                 running_endpoint.resource, port
             )
@@ -139,7 +144,9 @@
         resource = self._make_resource(entry)
         listening_port = self._listen(resource, port)
         address = 'http://127.0.0.1:%d' % listening_port.getHost().port
-        entry = dataclasses.replace(entry, address=address)
+        entry = dataclasses.replace(
+            entry, address=address, born=_read_unix_milliseconds()
+        )
         self._endpoints[entry.endpoint] = _RunningEndpoint(
             entry, resource, listening_port
         )
@@ -216,3 +223,7 @@
         for running_endpoint in self._endpoints.values():
             if running_endpoint.port is not None:
                 await defer.maybeDeferred(running_endpoint.port.stopListening)
+
+
+def _read_unix_milliseconds() -> int:
+    return int(time.time() * 1000)
--- a/src/cairnloom/standins/program.py
+++ b/src/cairnloom/standins/program.py
@@ -37,6 +37,10 @@
       another request
     - ``slow_endpoint``: the engine that is slowed down by the factor
       ``slowdown``
+    - ``leaving_endpoint``: the endpoint that says in all its answers that it
+      leaves
+    - ``pausing_endpoint``: the endpoint that turns requests away and asks for
+      a pause of ``retry_after``; it takes them again if that is empty
     - ``service_delay_seconds``: the delay of the answers of all services
     """
 
@@ -51,6 +55,9 @@
     cross_endpoint: str | None = None
     slow_endpoint: str | None = None
     slowdown: float = 10.0
+    leaving_endpoint: str | None = None
+    pausing_endpoint: str | None = None
+    retry_after: str = ''
     service_delay_seconds: float | None = None
 
 
@@ -151,6 +158,14 @@
                 requested_faults.slow_endpoint
             )
             endpoint_resource.state.slowdown = requested_faults.slowdown
+        if requested_faults.leaving_endpoint is not None:
+            self.fleet.resource(requested_faults.leaving_endpoint).leaving = (
+                True
+            )
+        if requested_faults.pausing_endpoint is not None:
+            self.fleet.resource(
+                requested_faults.pausing_endpoint
+            ).retry_after = requested_faults.retry_after
         if requested_faults.service_delay_seconds is not None:
             for endpoint_resource in self._services():
                 endpoint_resource.delay_seconds = (
@@ -197,6 +212,9 @@
                     *(item.header_names for item in resources.values())
                 )
             ),
+            'requests': {
+                name: item.request_count for name, item in resources.items()
+            },
             'platform_orders': self.fleet.orders,
             'reports': self.reports,
             'crashes': self.fleet.crashes,
--- a/src/cairnloom/standins/service.py
+++ b/src/cairnloom/standins/service.py
@@ -7,11 +7,12 @@
 import json
 from typing import Any
 
-from twisted.web import resource
 from twisted.web import server as web_server
 
+from . import announcing
 
-class ServiceResource(resource.Resource):
+
+class ServiceResource(announcing.AnnouncingResource):
     """HTTP resource that runs and records every call.
 
     ``runs`` holds the bodies of the calls, and ``targets`` their paths with
@@ -30,8 +31,11 @@
 
     def render(self, request: web_server.Request) -> Any:
         assert request.content is not None
+        self.announce(request)
         if request.path == b'/load':
             return b'{"model":"","slots":64}'
+        if self.turn_away(request):
+            return b'{}'
         raw_headers = request.requestHeaders.getAllRawHeaders()
         self.header_names.update(
             name.decode().lower() for name, _ in raw_headers
