--- a/src/cairnloom/endpoints/engines.py
+++ b/src/cairnloom/endpoints/engines.py
@@ -13,7 +13,6 @@
 from .. import exceptions
 from ..protocol import client
 from ..protocol import codec
-from ..protocol import quantities
 from ..routing import work
 
 TIMEOUT_SECONDS = 2.0
@@ -72,10 +71,8 @@
     pause_text = ''
     if status == _UNAVAILABLE:
         (pause_text,) = headers.getRawHeaders(RETRY_AFTER_HEADER, [''])[:1]
-    return work.Announcement(
-        leaving=headers.hasHeader(LEAVING_HEADER),
-        pause=quantities.parse_quantity(pause_text),
-        pause_text=pause_text,
+    return work.make_announcement(
+        headers.hasHeader(LEAVING_HEADER), pause_text
     )
 
 
--- a/src/cairnloom/entry/announcements.py
+++ b/src/cairnloom/entry/announcements.py
@@ -27,7 +27,6 @@
 # So many endpoints that this host must not use are named with a request that
 # another host places.
 MAX_NAMES_PER_PLACEMENT = 64
-MAX_LOGGED_CHARACTERS = 40
 
 
 class Announcements:
@@ -109,8 +108,11 @@
 
     def note_told(self, hub: str, run_keys: list[str]) -> None:
         """Record that a hub has answered a message with these runs."""
+        if not run_keys:
+            return
+        last_run = run_keys[-1]
         for number, run_key in self._reports:
-            if run_key in run_keys:
+            if run_key == last_run:
                 self._told[hub] = max(number, self._told.get(hub, 0))
 
     def forget_hubs(self) -> None:
@@ -159,16 +161,15 @@
     def find_shortest_pause(self, service: str, now: float) -> float | None:
         """Return when the first endpoint of a service ends its pause.
 
-        In seconds from now; None if none of its endpoints pauses.
+        In seconds from now; None if an endpoint does not pause, or if there is
+        none. Engines that only run prefills do not count.
         """
-        return min(
-            (
-                self.measure_pause(instance, now)
-                for instance in self.list_paused(now)
-                if instance.service == service
-            ),
-            default=None,
-        )
+        pause_seconds = [
+            self.measure_pause(instance, now)
+            for instance in self._cluster_state.directory.ready(service)
+            if instance.role != 'prefill'
+        ]
+        return min(pause_seconds, default=0.0) or None
 
     def measure_pause(self, instance: instances.Instance, now: float) -> float:
         """Return for how many seconds an endpoint wants no requests."""
@@ -185,7 +186,7 @@
             logs.log_event(
                 'pause_ignored',
                 endpoint=instance.name,
-                asked=announcement.pause_text[:MAX_LOGGED_CHARACTERS],
+                asked=announcement.pause_text,
             )
             return
         pause_seconds = self._pauses.note(instance.run_key, seconds, now)
@@ -193,6 +194,6 @@
             'endpoint_pauses',
             endpoint=instance.name,
             seconds=round(pause_seconds, 3),
-            asked=announcement.pause_text[:MAX_LOGGED_CHARACTERS],
+            asked=announcement.pause_text,
         )
         self.on_pause(instance, pause_seconds)
--- a/src/cairnloom/entry/leader_tasks.py
+++ b/src/cairnloom/entry/leader_tasks.py
@@ -192,13 +192,12 @@
             if report.role == order.role:
                 return
             directory = self._host.cluster_state.directory
-            if not directory.is_current(order.instance):
-                raise exceptions.EndpointError('endpoint leaves', False)
-            fence = authority.fence
-            accepted = await self._engines.change_role(
-                order.instance, order.role, fence, report.sequence
-            )
-            outcome = 'taken' if accepted else 'refused'
+            if directory.is_current(order.instance):
+                fence = authority.fence
+                accepted = await self._engines.change_role(
+                    order.instance, order.role, fence, report.sequence
+                )
+                outcome = 'taken' if accepted else 'refused'
         except exceptions.EndpointError as fault:
             outcome = str(fault)
         logs.log_event(
--- a/src/cairnloom/gateway/state.py
+++ b/src/cairnloom/gateway/state.py
@@ -35,7 +35,6 @@
 from ..runtime import runner
 
 MAX_AGE_SECONDS = 1e9
-MAX_LOGGED_CHARACTERS = 40
 
 
 @dataclasses.dataclass
@@ -122,7 +121,7 @@
             self.note_leaving(run_key)
         if not announcement.pause_text:
             return
-        asked = announcement.pause_text[:MAX_LOGGED_CHARACTERS]
+        asked = announcement.pause_text
         if announcement.pause is None:
             logs.log_event('pause_ignored', endpoint=run_key, asked=asked)
             return
--- a/src/cairnloom/platform/names.py
+++ b/src/cairnloom/platform/names.py
@@ -31,7 +31,7 @@
 # therefore be repeated.
 NOT_RUN = b'Not-Executed'
 RETRY_AFTER = b'Retry-After'
-# Its presence shows that the endpoint is about to shut down.
+# Is 1 if the endpoint is about to shut down, else 0 or absent.
 LEAVING = b'Server-Leaving'
 HOLDER = b'Lease-Holder'
 FENCE = b'Fencing-Token'
--- a/src/cairnloom/platform/requests.py
+++ b/src/cairnloom/platform/requests.py
@@ -121,11 +121,8 @@
     pause_text = ''
     if status == _UNAVAILABLE:
         pause_text = _first_value(headers, names.RETRY_AFTER)
-    return work.Announcement(
-        leaving=headers.hasHeader(names.LEAVING),
-        pause=quantities.parse_quantity(pause_text),
-        pause_text=pause_text,
-    )
+    is_leaving = _first_value(headers, names.LEAVING) not in ('', '0')
+    return work.make_announcement(is_leaving, pause_text)
 
 
 def read_idle_timeout(headers: http_headers.Headers) -> float | None:
--- a/src/cairnloom/routing/scheduler.py
+++ b/src/cairnloom/routing/scheduler.py
@@ -280,7 +280,9 @@
                 self._directory.list_usable(placement_request.service, now)
             )
         if (
-            not placement_request.tried
+            not any(
+                self._is_usable(name, now) for name in placement_request.tried
+            )
             and not placement_request.avoided
             and not placement_request.resumes
             and placement_request.software is None
@@ -300,6 +302,10 @@
             selection.EngineGroup(decode_engines),
         )
 
+    def _is_usable(self, name: str, now: float) -> bool:
+        engine = self._directory.find(name)
+        return engine is not None and self._directory.is_usable(engine, now)
+
     def _make_groups(
         self, engines: list[instances.Instance]
     ) -> selection.EngineGroups:
--- a/src/cairnloom/routing/work.py
+++ b/src/cairnloom/routing/work.py
@@ -6,6 +6,11 @@
 
 import dataclasses
 
+from ..protocol import quantities
+
+# So much of a header that can't be read is kept for the log.
+MAX_TEXT_CHARACTERS = 40
+
 
 @dataclasses.dataclass(frozen=True)
 class PromptPart:
@@ -134,7 +139,7 @@
 
     ``leaving`` is true if it is about to shut down. If it wants no requests
     from this host for a while, ``pause`` is that time in seconds, or None if
-    ``pause_text``, as it was sent, can't be read.
+    ``pause_text``, the beginning of what was sent, can't be read.
     """
 
     leaving: bool = False
@@ -142,6 +147,16 @@
     pause_text: str = ''
 
 
+def make_announcement(leaving: bool, pause_text: str) -> Announcement:
+    """Return an announcement, given the text of the pause or ''.
+
+    >>> make_announcement(False, '1.5').pause
+    1.5
+    """
+    pause = quantities.parse_quantity(pause_text)
+    return Announcement(leaving, pause, pause_text[:MAX_TEXT_CHARACTERS])
+
+
 @dataclasses.dataclass(frozen=True)
 class CacheHandle:
     """A KV cache that an engine keeps for another one to fetch."""
--- a/tests/atlas_deployment.py
+++ b/tests/atlas_deployment.py
@@ -20,6 +20,7 @@
 from cairnloom.entry import settings
 from cairnloom.platform import names
 from cairnloom.platform import program as platform_program
+from cairnloom.routing import scheduler
 from cairnloom.runtime import clock
 from cairnloom.standins import atlas
 from cairnloom.standins import links
@@ -117,6 +118,70 @@
     } | fields
 
 
+def make_desks(count=2):
+    """Return endpoints of a plain service."""
+    return [
+        atlas.Endpoint('d%d' % number, 'desk', born=number + 1)
+        for number in range(count)
+    ]
+
+
+def run_deployments(**defaults):
+    """Yield a function that starts a deployment, and close all in the end.
+
+    It takes endpoints, and the number of hosts and other options.
+    """
+    deployments = []
+
+    def start_deployment(*endpoints, **options):
+        options = defaults | options
+        hosts = options.pop('hosts', 1)
+        deployment = Deployment(endpoints, start=False, **options)
+        deployments.append(deployment)
+        deployment.start_hosts(hosts)
+        return deployment
+
+    yield start_deployment
+    for deployment in deployments:
+        deployment.close()
+
+
+def make_engines():
+    """Return engines of a model, two of each role."""
+    return [
+        atlas.Endpoint(name, 'model', role=role, born=7)
+        for name, role in (
+            ('e0', 'decode'),
+            ('e1', 'decode'),
+            ('p0', 'prefill'),
+            ('p1', 'prefill'),
+        )
+    ]
+
+
+@contextlib.contextmanager
+def fixed_placement(host_program, reading='p1', answering='e1', neighbour=''):
+    """Have all prompts of a host placed in the same way.
+
+    Yields the list of placement requests.
+    """
+    asked = []
+    placement = scheduler.Placement(
+        reading, answering, True, neighbour, 0.1, 0.05, 10
+    )
+
+    async def place(request):
+        asked.append(request)
+        return placement
+
+    scheduler_client = host_program._host.scheduler_client
+    scheduler_client.place = place
+    try:
+        yield asked
+    finally:
+        del scheduler_client.place
+
+
 @dataclasses.dataclass
 class Answer:
     """An answer as its caller got it; ``whole`` is false if it was cut off."""
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -18,6 +18,7 @@
 from cairnloom.entry import cluster_state
 from cairnloom.platform import names
 from cairnloom.platform import requests
+from cairnloom.protocol import codec
 from cairnloom.routing import endpoint_stats
 from cairnloom.routing import instances
 
@@ -312,6 +313,37 @@
         return []
 
 
+def test_messages_and_memory_are_bounded_at_the_target_size():
+    cluster = cluster_state.ClusterState()
+    own_announcements = announcements.Announcements(
+        requests.read_announcement, cluster, endpoint_stats.StatsRegistry()
+    )
+    endpoints = [
+        instances.Instance(
+            'i-%08x' % number, 'model', '10.0.0.1', number, 'a', born=number
+        )
+        for number in range(12000)
+    ]
+    changes = [
+        instances.InstanceChange(endpoint.name, 1, endpoint)
+        for endpoint in endpoints
+    ]
+    cluster.directory.replace(changes, 0.0, 1)
+    for endpoint in endpoints[:6000]:
+        own_announcements.note_answer(endpoint, 200, LEAVING, 0.0)
+    assert len(cluster.directory._leaving) == instances.MAX_LEAVING
+    told_count = 0
+    while told := own_announcements.list_untold('hub'):
+        assert len(told) <= announcements.REPORTS_PER_MESSAGE
+        assert len(codec.encode(told)) < 4096
+        own_announcements.note_told('hub', told)
+        told_count += len(told)
+    assert told_count == announcements.MAX_REPORTS
+    unusable = own_announcements.list_unusable('model', 0.0)
+    assert len(unusable) == announcements.MAX_NAMES_PER_PLACEMENT
+    assert len(cluster.directory.ready('model')) == 6000
+
+
 def test_endpoint_that_leaves_is_known_to_all_hosts_for_good():
     state_machines.run(AnnouncementMachine, 600, 40)
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -10,8 +10,10 @@
 import atlas_deployment
 import pytest
 
+from cairnloom.coordination import leases
+from cairnloom.coordination import rows
+from cairnloom.planning import role_split
 from cairnloom.platform import names
-from cairnloom.routing import scheduler
 from cairnloom.runtime import concurrency
 from cairnloom.standins import atlas
 
@@ -21,38 +23,7 @@
 
 @pytest.fixture
 def deploy():
-    deployments = []
-
-    def start_deployment(*endpoints, hosts=1, **options):
-        deployment = atlas_deployment.Deployment(
-            endpoints, start=False, **options
-        )
-        deployments.append(deployment)
-        deployment.start_hosts(hosts)
-        return deployment
-
-    yield start_deployment
-    for deployment in deployments:
-        deployment.close()
-
-
-def make_desks(count=2):
-    return [
-        atlas.Endpoint('d%d' % number, 'desk', born=number + 1)
-        for number in range(count)
-    ]
-
-
-def make_engines():
-    return [
-        atlas.Endpoint(name, 'model', role=role, born=7)
-        for name, role in (
-            ('e0', 'decode'),
-            ('e1', 'decode'),
-            ('p0', 'prefill'),
-            ('p1', 'prefill'),
-        )
-    ]
+    yield from atlas_deployment.run_deployments()
 
 
 def count_runs(deployment, name):
@@ -69,14 +40,14 @@
     raise AssertionError('%s got no request' % name)
 
 
-def ask_until_reached(deployment, name, host=0):
-    """Send prompts until an engine has answered one."""
+def ask_at(deployment, name, host=0):
+    """Have an engine answer a prompt."""
+    role = 'reading' if name.startswith('p') else 'answering'
     count = count_runs(deployment, name)
-    for number in range(100):
-        ask_model(deployment, 'reach-%d' % number, host)
-        if count_runs(deployment, name) > count:
-            return
-    raise AssertionError('%s got no request' % name)
+    program = deployment.programs[host]
+    with atlas_deployment.fixed_placement(program, **{role: name}):
+        assert ask_model(deployment, 'at-%d' % count, host).status == 200
+    assert count_runs(deployment, name) == count + 1
 
 
 def ask_model(deployment, part, host=0):
@@ -105,7 +76,7 @@
     'row', ['ready', 'ready-again', 'draining-before', 'draining', 'removed']
 )
 def test_endpoint_that_says_it_leaves_gets_no_new_requests(deploy, row):
-    deployment = deploy(*make_desks())
+    deployment = deploy(*atlas_deployment.make_desks())
     if row == 'draining-before':
         deployment.put_row('d0', 'draining')
     else:
@@ -129,61 +100,38 @@
 
 @pytest.mark.parametrize('name', ['e0', 'p0'])
 def test_engine_that_says_it_leaves_gets_no_new_prompts(deploy, name):
-    deployment = deploy(*make_engines())
+    deployment = deploy(*atlas_deployment.make_engines())
     deployment.endpoints[name].leaving = True
-    ask_until_reached(deployment, name)
+    ask_at(deployment, name)
     count = count_runs(deployment, name)
     for number in range(12):
         assert ask_model(deployment, 'new-%d' % number).status == 200
     assert count_runs(deployment, name) == count
 
 
-def place_always(program, **fields):
-    """Have a host place all prompts in the same way; return the requests."""
-    asked = []
-
-    async def place(request):
-        asked.append(request)
-        return scheduler.Placement(
-            **{
-                'reading': 'p1',
-                'answering': 'e1',
-                'apart': True,
-                'neighbour': '',
-                'seconds': 0.1,
-                'reading_seconds': 0.05,
-                'new_tokens': 10,
-            }
-            | fields
-        )
-
-    program._host.scheduler_client.place = place
-    return asked
-
-
 def test_shared_parts_are_not_fetched_from_an_engine_that_leaves(deploy):
-    deployment = deploy(*make_engines())
+    deployment = deploy(*atlas_deployment.make_engines())
     program = deployment.programs[0]
-    place_always(program, neighbour='p0')
     address = '127.0.0.1:%d' % deployment.endpoints['p0'].port
-    assert ask_model(deployment, 'a').status == 200
     prefill = deployment.endpoints['p1'].received
-    assert prefill[-1].header(names.CACHE_NEIGHBOUR) == address
-    say_leaving(deployment, 'p0')
-    assert ask_model(deployment, 'b').status == 200
-    assert prefill[-1].header(names.CACHE_NEIGHBOUR) == ''
+    with atlas_deployment.fixed_placement(program, neighbour='p0'):
+        assert ask_model(deployment, 'a').status == 200
+        assert prefill[-1].header(names.CACHE_NEIGHBOUR) == address
+        say_leaving(deployment, 'p0')
+        assert ask_model(deployment, 'b').status == 200
+        assert prefill[-1].header(names.CACHE_NEIGHBOUR) == ''
 
 
 @pytest.mark.parametrize(
     'fields', [{'reading': 'p0'}, {'answering': 'e0'}], ids=['p0', 'e0']
 )
 def test_placement_of_a_hub_that_has_not_heard_is_not_followed(deploy, fields):
-    deployment = deploy(*make_engines())
+    deployment = deploy(*atlas_deployment.make_engines())
     program = deployment.programs[0]
     (name,) = fields.values()
-    asked = place_always(program, **fields)
     say_leaving(deployment, name)
-    assert ask_model(deployment, 'a').status == 503
+    with atlas_deployment.fixed_placement(program, **fields) as asked:
+        assert ask_model(deployment, 'a').status == 503
     assert not count_runs(deployment, name)
     assert all(name in request.tried for request in asked)
 
@@ -199,7 +147,7 @@
 
 
 def test_streams_in_progress_end_undisturbed(deploy):
-    deployment = deploy(*make_engines())
+    deployment = deploy(*atlas_deployment.make_engines())
     for endpoint in deployment.endpoints.values():
         endpoint.event_seconds = 0.2
     answers = []
@@ -213,21 +161,41 @@
     time.sleep(0.3)
     for name in ('e0', 'p0'):
         deployment.endpoints[name].leaving = True
-    ask_until_reached(deployment, 'e0')
+    ask_at(deployment, 'e0')
     for thread in threads:
         thread.join()
     assert [answer.status for answer in answers] == [200] * 6
     assert all(b'event-5' in answer.body for answer in answers)
 
 
+def test_stream_is_taken_up_elsewhere_once_its_engine_leaves(deploy):
+    deployment = deploy(*atlas_deployment.make_engines(), hosts=2)
+    stream = deployment.begin_stream('/resume/x', 'aa:10,bb:5')
+    (began,) = [
+        name
+        for name in ('e0', 'e1')
+        for received in deployment.endpoints[name].received
+        if received.header(names.REQUEST_ID) == stream[0]
+    ]
+    say_leaving(deployment, began, host=1)
+    count = count_runs(deployment, began)
+    answer = deployment.resume_stream(stream, parts='aa:10,bb:5', host=1)
+    assert answer.status == 200 and b'event-5' in answer.body
+    assert count_runs(deployment, began) == count
+
+
 def test_other_hosts_learn_that_an_endpoint_leaves(deploy):
-    deployment = deploy(*make_desks(), *make_engines(), hosts=4)
+    deployment = deploy(
+        *atlas_deployment.make_desks(),
+        *atlas_deployment.make_engines(),
+        hosts=4,
+    )
     hub = deployment.find_scheduling_hub()
     host = (deployment.programs.index(hub) + 1) % 4
     for name in ('d0', 'e0'):
         deployment.endpoints[name].leaving = True
     call_until_reached(deployment, 'd0', host)
-    ask_until_reached(deployment, 'e0', host)
+    ask_at(deployment, 'e0', host)
     time.sleep(SPREAD_SECONDS)
     assert_unused(deployment, 'd0', range(4))
     for program in deployment.programs:
@@ -241,7 +209,7 @@
 
 
 def test_host_that_starts_later_learns_that_an_endpoint_leaves(deploy):
-    deployment = deploy(*make_desks(), hosts=3)
+    deployment = deploy(*atlas_deployment.make_desks(), hosts=3)
     deployment.endpoints['d0'].leaving = True
     call_until_reached(deployment, 'd0')
     deployment.start_host('host-4')
@@ -251,7 +219,7 @@
 
 @pytest.mark.parametrize('mode', ['silent', 'busy', 'reset'])
 def test_endpoint_that_leaves_during_an_outage_of_the_store(deploy, mode):
-    deployment = deploy(*make_desks(), hosts=2)
+    deployment = deploy(*atlas_deployment.make_desks(), hosts=2)
     deployment.set_mode(mode)
     time.sleep(0.5)
     deployment.endpoints['d0'].leaving = True
@@ -264,7 +232,7 @@
 
 
 def test_next_run_of_an_endpoint_is_used(deploy):
-    deployment = deploy(*make_desks())
+    deployment = deploy(*atlas_deployment.make_desks())
     deployment.endpoints['d0'].leaving = True
     call_until_reached(deployment, 'd0')
     assert_unused(deployment, 'd0')
@@ -274,7 +242,7 @@
 
 
 def test_endpoint_at_the_address_of_one_that_left_is_used(deploy):
-    deployment = deploy(*make_desks())
+    deployment = deploy(*atlas_deployment.make_desks())
     deployment.endpoints['d0'].leaving = True
     call_until_reached(deployment, 'd0')
     deployment.remove_endpoint('d0')
@@ -284,7 +252,7 @@
 
 
 def test_other_endpoint_at_an_address_says_nothing_of_the_listed_one(deploy):
-    deployment = deploy(*make_desks())
+    deployment = deploy(*atlas_deployment.make_desks())
     successor = atlas.Endpoint('x', 'other', leaving=True, born=9)
     deployment.replace_endpoint('d0', successor)
     for number in range(12):
@@ -293,7 +261,7 @@
 
 
 def test_request_that_waits_for_a_connection_is_not_sent_any_more(deploy):
-    deployment = deploy(*make_desks(1))
+    deployment = deploy(*atlas_deployment.make_desks(1))
     program = deployment.programs[0]
     upstream = program._host.upstream
     connect = upstream._connect
@@ -323,7 +291,7 @@
 
 
 def test_both_hosts_of_a_passed_request_learn_that_an_endpoint_leaves(deploy):
-    deployment = deploy(*make_desks(), hosts=4)
+    deployment = deploy(*atlas_deployment.make_desks(), hosts=4)
     deployment.cut(0, 'reset')
     for number in range(8):
         deployment.call('/safe/%d' % number)
@@ -346,7 +314,7 @@
 def test_engine_whose_report_says_it_leaves_gets_no_prompts(
     deploy, state, leaves_ms
 ):
-    deployment = deploy(*make_engines())
+    deployment = deploy(*atlas_deployment.make_engines())
     program = deployment.programs[0]
     engine = deployment.endpoints['e0']
     engine.report_state, engine.leaves_ms = state, leaves_ms
@@ -360,8 +328,23 @@
     assert not count_runs(deployment, 'e0')
 
 
+def test_role_is_not_ordered_of_an_engine_that_leaves(deploy):
+    deployment = deploy(*atlas_deployment.make_engines())
+    program = deployment.programs[0]
+    authority = leases.Authority(1, rows.Check('fence', None))
+    for name, state in (('p0', 'ready'), ('p1', 'draining')):
+        deployment.endpoints[name].report_state = state
+        engine = program._host.cluster_state.directory.find(name)
+        order = role_split.RoleOrder(engine, 'decode')
+        atlas_deployment.await_in_reactor(
+            lambda: program._leader_tasks._order_role(order, lambda: authority)
+        )
+    assert deployment.endpoints['p0'].orders
+    assert not deployment.endpoints['p1'].orders
+
+
 def test_report_of_a_later_run_says_nothing_of_the_listed_one(deploy):
-    deployment = deploy(*make_engines())
+    deployment = deploy(*atlas_deployment.make_engines())
     program = deployment.programs[0]
     engine = deployment.endpoints['e0']
     engine.report_state, engine.born = 'draining', 99
@@ -374,7 +357,7 @@
 
 def test_last_endpoint_is_used_while_its_grace_time_lasts(deploy):
     """Its callers would be refused, although it still serves."""
-    deployment = deploy(*make_desks(1))
+    deployment = deploy(*atlas_deployment.make_desks(1))
     deployment.endpoints['d0'].leaving = True
     call_until_reached(deployment, 'd0')
     assert deployment.call('/safe/in-time').status == 200
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -13,40 +13,11 @@
 from cairnloom import exceptions
 from cairnloom.platform import requests
 from cairnloom.routing import pauses
-from cairnloom.standins import atlas
 
 
 @pytest.fixture
 def deploy():
-    deployments = []
-
-    def start_deployment(*endpoints, hosts=1, **options):
-        deployment = atlas_deployment.Deployment(
-            endpoints, start=False, **options
-        )
-        deployments.append(deployment)
-        deployment.start_hosts(hosts)
-        return deployment
-
-    yield start_deployment
-    for deployment in deployments:
-        deployment.close()
-
-
-def make_desks(count=2):
-    return [
-        atlas.Endpoint('d%d' % number, 'desk', born=number + 1)
-        for number in range(count)
-    ]
-
-
-def make_engines():
-    return [
-        atlas.Endpoint(
-            name, 'model', role=name[0] == 'p' and 'prefill' or 'decode'
-        )
-        for name in ('e0', 'e1', 'p0', 'p1')
-    ]
+    yield from atlas_deployment.run_deployments()
 
 
 def list_times(deployment, name):
@@ -58,10 +29,15 @@
 
 def reach(deployment, name, ask, host=0):
     """Send requests until an endpoint got one; return when it came."""
+    role = {'e': 'answering', 'p': 'reading'}.get(name[0])
+    program = deployment.programs[host]
+    if role is not None:
+        with atlas_deployment.fixed_placement(program, **{role: name}):
+            ask(0, host)
     for number in range(100):
-        assert ask(number, host).status == 200
         if deployment.endpoints[name].received:
             return deployment.endpoints[name].received[0].at
+        assert ask(number, host).status == 200
     raise AssertionError('%s got no request' % name)
 
 
@@ -82,10 +58,10 @@
     deploy, name
 ):
     if name == 'd0':
-        deployment = deploy(*make_desks())
+        deployment = deploy(*atlas_deployment.make_desks())
         ask = make_plain_caller(deployment)
     else:
-        deployment = deploy(*make_engines())
+        deployment = deploy(*atlas_deployment.make_engines())
         ask = make_model_caller(deployment)
     deployment.endpoints[name].retry_after = '2.5'
     first_at = reach(deployment, name, ask)
@@ -122,7 +98,7 @@
 
 
 def test_long_pause_is_bounded(deploy):
-    deployment = deploy(*make_desks())
+    deployment = deploy(*atlas_deployment.make_desks())
     deployment.endpoints['d0'].retry_after = '1e9'
     reach(deployment, 'd0', make_plain_caller(deployment))
     context = deployment.programs[0]._host
@@ -134,7 +110,7 @@
 
 
 def test_next_run_of_an_endpoint_that_paused_is_used(deploy):
-    deployment = deploy(*make_desks())
+    deployment = deploy(*atlas_deployment.make_desks())
     ask = make_plain_caller(deployment)
     deployment.endpoints['d0'].retry_after = '60'
     reach(deployment, 'd0', ask)
@@ -148,7 +124,7 @@
 
 
 def test_pause_outlasts_the_loss_of_a_row(deploy):
-    deployment = deploy(*make_desks())
+    deployment = deploy(*atlas_deployment.make_desks())
     deployment.endpoints['d0'].retry_after = '30'
     reach(deployment, 'd0', make_plain_caller(deployment))
     deployment.remove_endpoint('d0')
@@ -161,7 +137,7 @@
 
 
 def test_control_calls_wait_for_the_end_of_a_pause(deploy):
-    deployment = deploy(*make_engines())
+    deployment = deploy(*atlas_deployment.make_engines())
     context = deployment.programs[0]._host
     engine = context.cluster_state.directory.find('p0')
     deployment.endpoints['p0'].retry_after = '1.0'
@@ -180,7 +156,7 @@
 
 
 def test_callers_are_told_when_the_first_endpoint_takes_work_again(deploy):
-    deployment = deploy(*make_desks())
+    deployment = deploy(*atlas_deployment.make_desks())
     for name, text in (('d0', '4.0'), ('d1', '9.0')):
         deployment.endpoints[name].retry_after = text
     deployment.call('/once/x', 'POST', b'x')
@@ -197,8 +173,18 @@
         assert len(deployment.endpoints[name].received) == 1
 
 
+def test_pause_of_one_endpoint_does_not_delay_callers_of_the_others(deploy):
+    deployment = deploy(*atlas_deployment.make_desks())
+    deployment.endpoints['d0'].retry_after = '60'
+    reach(deployment, 'd0', make_plain_caller(deployment))
+    deployment.endpoints['d1'].planned_faults.append('shed')
+    answer = deployment.call('/once/x', 'POST', b'x')
+    assert answer.status == 503
+    assert float(answer.headers['retry-after']) <= 1.0
+
+
 def test_other_hosts_prefer_engines_that_do_not_pause(deploy):
-    deployment = deploy(*make_engines(), hosts=4)
+    deployment = deploy(*atlas_deployment.make_engines(), hosts=4)
     hub = deployment.find_scheduling_hub()
     host = (deployment.programs.index(hub) + 1) % 4
     ask = make_model_caller(deployment)
@@ -213,7 +199,7 @@
 
 
 def test_request_is_not_passed_on_during_a_pause(deploy):
-    deployment = deploy(*make_desks(), hosts=4)
+    deployment = deploy(*atlas_deployment.make_desks(), hosts=4)
     ask = make_plain_caller(deployment)
     deployment.cut(0, 'reset')
     deployment.endpoints['d0'].retry_after = '3.0'
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -292,6 +292,8 @@
     headers = http_headers.Headers({b'Server-Leaving': [b'1']})
     assert requests.read_announcement(503, headers).leaving
     assert not requests.read_announcement(421, headers).leaving
+    headers.setRawHeaders(b'Server-Leaving', [b'0'])
+    assert not requests.read_announcement(200, headers).leaving
 
 
 def test_limit_in_an_answer_of_another_instance_is_ignored():
