--- a/src/cairnloom/entry/announcements.py
+++ b/src/cairnloom/entry/announcements.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import itertools
 from typing import Callable
 
 from twisted.web import http_headers
@@ -140,13 +141,20 @@
         Other hosts may take them for usable.
         """
         directory = self._cluster_state.directory
-        names = [
+        unusable_instances = itertools.chain(
+            self.list_paused(now),
+            (
+                instance
+                for instance in directory.list_leaving(service)
+                if not directory.is_usable(instance, now)
+            ),
+        )
+        return [
             instance.name
-            for instance in directory.list_leaving(service)
-            if not directory.is_usable(instance, now)
+            for instance in itertools.islice(
+                unusable_instances, MAX_NAMES_PER_PLACEMENT
+            )
         ]
-        names += [instance.name for instance in self.list_paused(now)]
-        return names[:MAX_NAMES_PER_PLACEMENT]
 
     def list_paused(self, now: float) -> list[instances.Instance]:
         """Return the listed endpoints that want no requests from this host."""
