--- a/src/cairnloom/entry/cluster_state.py
+++ b/src/cairnloom/entry/cluster_state.py
@@ -168,12 +168,13 @@
         """Apply changes of endpoints received from another host."""
         directory = self.directory
         if update.whole:
+            was_loaded = directory.loaded
             removed_instances = directory.replace(
                 list(update.changes), now, update.version, True
             )
             for instance in removed_instances:
                 self._note_removed(instance)
-            directory.loaded = directory.loaded or update.loaded
+            directory.loaded = was_loaded or update.loaded
             return
         for change in update.changes:
             if change.instance is not None:
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -387,3 +387,13 @@
 )
 def test_faulty_directories_are_detected(directory):
     state_machines.expect_failure(make_machine(directory))
+
+
+def test_list_of_a_hub_that_has_read_none_counts_for_nothing():
+    hub = cluster_state.ClusterState()
+    host = cluster_state.ClusterState()
+    host.apply_peer_update(hub.build_peer_update(-1), 0.0)
+    assert not host.directory.loaded
+    hub.directory.loaded = True
+    host.apply_peer_update(hub.build_peer_update(-1), 0.0)
+    assert host.directory.loaded
