--- a/src/cairnloom/entry/announcements.py
+++ b/src/cairnloom/entry/announcements.py
@@ -33,10 +33,9 @@
 class Announcements:
     """The endpoints that leave or pause, as this host knows them.
 
-    ``on_leaving`` is called with the run of an endpoint that was the first to
-    tell this host that it leaves, and ``on_pause`` with an endpoint that
-    pauses and for how many seconds. ``read_announcement`` decodes the head of
-    an answer.
+    ``on_leaving`` is called with each run of an endpoint that has told this
+    host that it leaves, and ``on_pause`` with an endpoint that pauses and for
+    how many seconds. ``read_announcement`` decodes the head of an answer.
     """
 
     def __init__(
@@ -50,8 +49,9 @@
         self._read_announcement = read_announcement
         self._cluster_state = cluster
         self._stats = stats
-        self._reports: collections.deque[tuple[int, str]] = collections.deque(
-            maxlen=MAX_REPORTS
+        # The number of each report, by the run of an endpoint.
+        self._reports: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
         )
         self._report_count = 0
         self._told: dict[str, int] = {}
@@ -77,10 +77,16 @@
 
     def note_leaving(self, instance: instances.Instance, now: float) -> None:
         """Record that an endpoint has told this host that it leaves."""
-        if self._cluster_state.note_leaving(instance.identity, '', now):
-            self._report_count += 1
-            self._reports.append((self._report_count, instance.run_key))
-            self.on_leaving(instance.run_key)
+        self._cluster_state.note_leaving(instance.identity, '', now)
+        if instance.run_key in self._reports:
+            return
+        # Hubs are told also of what this host knew from others before, as they
+        # may have been restarted since.
+        self._report_count += 1
+        self._reports[instance.run_key] = self._report_count
+        if len(self._reports) > MAX_REPORTS:
+            self._reports.popitem(last=False)
+        self.on_leaving(instance.run_key)
 
     def receive(self, run_keys: list[str], host: str, now: float) -> None:
         """Take note of runs that have told another host that they leave."""
@@ -103,18 +109,16 @@
         """
         told = self._told.get(hub, 0)
         untold = [
-            run_key for number, run_key in self._reports if number > told
+            run_key
+            for run_key, number in self._reports.items()
+            if number > told
         ]
         return untold[:REPORTS_PER_MESSAGE]
 
     def note_told(self, hub: str, run_keys: list[str]) -> None:
         """Record that a hub has answered a message with these runs."""
-        if not run_keys:
-            return
-        last_run = run_keys[-1]
-        for number, run_key in self._reports:
-            if run_key == last_run:
-                self._told[hub] = max(number, self._told.get(hub, 0))
+        numbers = [self._reports.get(run_key, 0) for run_key in run_keys]
+        self._told[hub] = max(numbers + [self._told.get(hub, 0)])
 
     def forget_hubs(self) -> None:
         """Tell all hubs once more."""
--- a/src/cairnloom/entry/hubs.py
+++ b/src/cairnloom/entry/hubs.py
@@ -146,6 +146,7 @@
                 else None
             ),
             names_software=True,
+            leaving=cluster.directory.list_unlisted_leaving(),
         )
 
     async def _ask_unknown_hosts(self) -> None:
@@ -279,6 +280,7 @@
         if reply.document is not None:
             document = base64.b64decode(reply.document)
             cluster.apply_update(self._decode_document(document), now)
+        host.announcements.receive(reply.leaving, hub.host, now)
         cluster.apply_peer_update(reply.endpoints, now)
         if reply.fresh:
             cluster.hub_synced_at = max(cluster.hub_synced_at, sent_at)
--- a/src/cairnloom/entry/messages.py
+++ b/src/cairnloom/entry/messages.py
@@ -74,7 +74,8 @@
     of endpoints, None if they have not changed since the revision in the
     request; ``limits`` is their revision. ``names_software`` is set if the
     endpoints come with their software versions, which hosts of older builds
-    leave out.
+    leave out. ``leaving`` are runs of endpoints that leave and that are not
+    among ``endpoints``, as the sender has not read their rows.
     """
 
     owner: str
@@ -92,6 +93,7 @@
     limits: int = -1
     limit_reports: list[rate_limits.LimitReport] | None = None
     names_software: bool = False
+    leaving: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/routing/instances.py
+++ b/src/cairnloom/routing/instances.py
@@ -18,6 +18,7 @@
 # So many runs of endpoints are remembered as leaving, also after their rows
 # are gone. The earliest ones are forgotten first.
 MAX_LEAVING = 4096
+MAX_UNLISTED_TOLD = 64
 
 
 @dataclasses.dataclass(frozen=True)
@@ -296,6 +297,20 @@
             ]
         return leaving_instances
 
+    def list_unlisted_leaving(self) -> list[str]:
+        """Return runs that leave and whose rows this host has not read yet.
+
+        Peers learn of the others from the changes of the directory.
+        """
+        if self.loaded:
+            return []
+        run_keys = [
+            '%s/%d' % identity
+            for identity in self._leaving
+            if identity[0] not in self._entries
+        ]
+        return run_keys[-MAX_UNLISTED_TOLD:]
+
     def list_versions(self) -> dict[str, set[str | None]]:
         """Return the software versions of the endpoints of each service.
 
