--- a/src/cairnloom/entry/requests.py
+++ b/src/cairnloom/entry/requests.py
@@ -138,7 +138,7 @@
     ) -> list[instances.Instance]:
         """Return the untried, usable endpoints that accept a role's work."""
         usable_instances = self.host.cluster_state.directory.list_usable(
-            self.service.name, self.host.now()
+            self.service.name, self.host.now(), self.begun_version
         )
         return [
             instance
--- a/src/cairnloom/routing/instances.py
+++ b/src/cairnloom/routing/instances.py
@@ -108,8 +108,8 @@
     A run of an endpoint that leaves stays so, whatever rows say later. It is
     known from its row, from other hosts, or from the endpoint itself. For
     ``grace_seconds`` after that, it may still be used where no other endpoint
-    is ready. ``on_ignored`` is called with an instance whose new row says
-    ready although this run leaves.
+    of its software version is ready. ``on_ignored`` is called with an instance
+    whose new row says ready although this run leaves.
     """
 
     def __init__(self) -> None:
@@ -266,14 +266,21 @@
             ]
         return ready_instances
 
-    def list_usable(self, service: str, now: float) -> list[Instance]:
+    def list_usable(
+        self, service: str, now: float, software: str | None = None
+    ) -> list[Instance]:
         """Return the instances that may get new work.
 
-        These are the ready ones. Without any that can run whole requests,
-        leaving ones are among them while their grace time lasts.
+        These are the ready ones. Without any that can run whole requests, at
+        this software version if it is set, leaving ones are among them while
+        their grace time lasts.
         """
         ready_instances = self.ready(service)
-        if any(instance.role != 'prefill' for instance in ready_instances):
+        if any(
+            instance.role != 'prefill'
+            and software in (None, instance.software)
+            for instance in ready_instances
+        ):
             return ready_instances
         return ready_instances + [
             instance
@@ -348,7 +355,8 @@
     def is_usable(self, instance: Instance, now: float) -> bool:
         """Return whether this instance may get new work.
 
-        A leaving one may for its grace time, if no other is ready.
+        A leaving one may for its grace time, if no other of its software
+        version is ready.
         """
         if self.is_current(instance):
             return True
@@ -356,7 +364,7 @@
             self.is_listed(instance)
             and self._is_in_grace(instance, now)
             and not any(
-                other.role != 'prefill'
+                other.role != 'prefill' and other.software == instance.software
                 for other in self.ready(instance.service)
             )
         )
--- a/src/cairnloom/routing/scheduler.py
+++ b/src/cairnloom/routing/scheduler.py
@@ -275,9 +275,15 @@
                     self._directory.ready(placement_request.service)
                 )
             )
-        if not groups.decode.members:
+        software = placement_request.software
+        if not any(
+            software in (None, engine.instance.software)
+            for engine in groups.decode.members
+        ):
             groups = self._make_groups(
-                self._directory.list_usable(placement_request.service, now)
+                self._directory.list_usable(
+                    placement_request.service, now, software
+                )
             )
         if (
             not any(
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -367,3 +367,26 @@
     assert answer.status == 503
     assert float(answer.headers['retry-after']) > 0
     assert count_runs(deployment, 'd0') == count
+
+
+def test_last_engine_of_a_version_takes_up_streams_in_its_grace_time(deploy):
+    """No other engine may go on with them."""
+    deployment = deploy(
+        atlas.Endpoint('e0', 'model', role='decode', software='v1', born=1),
+        hosts=2,
+    )
+    streams = [deployment.begin_stream('/resume/x') for _ in range(2)]
+    deployment.add_endpoint(
+        atlas.Endpoint('e1', 'model', role='decode', software='v2', born=2)
+    )
+    for program in deployment.programs:
+        atlas_deployment.wait_for(lambda: 'e1' in list_ready(program, 'model'))
+    say_leaving(deployment, 'e0', host=1)
+    answer = deployment.resume_stream(streams[0], host=1)
+    assert answer.status == 200 and b'event-5' in answer.body
+    assert deployment.ask_model('/chat/new', host=1).status == 200
+    assert deployment.endpoints['e1'].received[-1].target == '/chat/new'
+    time.sleep(1.5)
+    count = count_runs(deployment, 'e0')
+    assert deployment.resume_stream(streams[1], host=1).status == 503
+    assert count_runs(deployment, 'e0') == count
