--- a/src/cairnloom/entry/announcements.py
+++ b/src/cairnloom/entry/announcements.py
@@ -2,9 +2,9 @@
 
 Read from every answer before anything else is made of it, and asked right
 before every send. An endpoint that leaves gets no new work in this run of it,
-whatever its row says; the hubs are told. An endpoint that asks for a pause
-gets no request from this host until it is over; the host that schedules model
-work is told, and prefers other endpoints meanwhile.
+whatever its row says, which is reported to the hubs. An endpoint that asks for
+a pause gets no request from this host until it is over. This is reported to
+the host that schedules model work, which prefers other endpoints meanwhile.
 """
 
 import collections
@@ -21,7 +21,7 @@
 
 from . import cluster_state
 
-# So many runs that leave are told to hubs; each hub is told once. The earliest
+# So many runs that leave are reported to hubs, once to each hub. The earliest
 # ones are dropped first.
 MAX_REPORTS = 1024
 REPORTS_PER_MESSAGE = 64
@@ -33,7 +33,7 @@
 class Announcements:
     """The endpoints that leave or pause, as this host knows them.
 
-    ``on_leaving`` is called with each run of an endpoint that has told this
+    ``on_leaving`` is called with each run of an endpoint that says to this
     host that it leaves, and ``on_pause`` with an endpoint that pauses and for
     how many seconds. ``read_announcement`` decodes the head of an answer.
     """
@@ -54,7 +54,7 @@
             collections.OrderedDict()
         )
         self._report_count = 0
-        self._told: dict[str, int] = {}
+        self._reported: dict[str, int] = {}
         self._pauses = pauses.Pauses()
         self.on_leaving: Callable[[str], None] = lambda run_key: None
         self.on_pause: Callable[[instances.Instance, float], None] = (
@@ -76,12 +76,11 @@
             self._note_pause(instance, announcement, now)
 
     def note_leaving(self, instance: instances.Instance, now: float) -> None:
-        """Record that an endpoint has told this host that it leaves."""
+        """Record that an endpoint has said to this host that it leaves."""
         self._cluster_state.note_leaving(instance.identity, '', now)
         if instance.run_key in self._reports:
             return
-        # Hubs are told also of what this host knew from others before, as they
-        # may have been restarted since.
+        # This host may have known it from a hub that was restarted since.
         self._report_count += 1
         self._reports[instance.run_key] = self._report_count
         if len(self._reports) > MAX_REPORTS:
@@ -89,7 +88,7 @@
         self.on_leaving(instance.run_key)
 
     def receive(self, run_keys: list[str], host: str, now: float) -> None:
-        """Take note of runs that have told another host that they leave."""
+        """Take note of another host's reports of runs that leave."""
         for run_key in run_keys:
             identity = instances.parse_run_key(run_key)
             if identity is not None:
@@ -102,27 +101,27 @@
         if instance is not None and instance.run_key == run_key:
             self._stats.for_instance(instance).note_pause(seconds, now)
 
-    def list_untold(self, hub: str) -> list[str]:
-        """Return runs that leave and that a hub was not told of yet.
+    def list_unreported(self, hub: str) -> list[str]:
+        """Return runs that leave and were not reported to a hub yet.
 
         ``hub`` is the owner of the hub's process.
         """
-        told = self._told.get(hub, 0)
-        untold = [
+        last_number = self._reported.get(hub, 0)
+        unreported = [
             run_key
             for run_key, number in self._reports.items()
-            if number > told
+            if number > last_number
         ]
-        return untold[:REPORTS_PER_MESSAGE]
+        return unreported[:REPORTS_PER_MESSAGE]
 
-    def note_told(self, hub: str, run_keys: list[str]) -> None:
+    def note_reported(self, hub: str, run_keys: list[str]) -> None:
         """Record that a hub has answered a message with these runs."""
         numbers = [self._reports.get(run_key, 0) for run_key in run_keys]
-        self._told[hub] = max(numbers + [self._told.get(hub, 0)])
+        self._reported[hub] = max(numbers + [self._reported.get(hub, 0)])
 
     def forget_hubs(self) -> None:
-        """Tell all hubs once more."""
-        self._told.clear()
+        """Report everything to all hubs once more."""
+        self._reported.clear()
 
     def find_objection(self, instance: instances.Instance, now: float) -> str:
         """Return why new work must not be sent to an endpoint, or ''."""
--- a/src/cairnloom/entry/cluster_state.py
+++ b/src/cairnloom/entry/cluster_state.py
@@ -202,7 +202,7 @@
             'endpoint_leaves',
             name=name,
             born=born,
-            told_by=host,
+            reported_by=host,
             row=listed and listed.state,
         )
         return True
--- a/src/cairnloom/entry/hubs.py
+++ b/src/cairnloom/entry/hubs.py
@@ -225,7 +225,7 @@
             self._members.avoid(hub.host, host.now())
             return False
         self._members.note_answer(hub.host)
-        host.announcements.note_told(reply.owner, request.leaving)
+        host.announcements.note_reported(reply.owner, request.leaving)
         if not reply.names_software:
             # A hub of an older build can't replace the store.
             reply = dataclasses.replace(reply, fresh=False)
@@ -252,7 +252,7 @@
             load=load,
             findings=host.crashing_parts.list_findings(now),
             limits=limits,
-            leaving=host.announcements.list_untold(hub.owner),
+            leaving=host.announcements.list_unreported(hub.owner),
         )
         if load is None:
             return request
--- a/src/cairnloom/entry/messages.py
+++ b/src/cairnloom/entry/messages.py
@@ -44,7 +44,7 @@
     knows of, and ``findings`` what it knows of prompt parts that crash
     engines. If the sender is a hub, ``heard`` lists the hosts that called it
     directly and ``load`` is the load that it placed. ``leaving`` are runs of
-    endpoints that have told the sender that they leave.
+    endpoints that have said to the sender that they leave.
     """
 
     me: members.HostRow
@@ -130,7 +130,7 @@
     ``crashes`` are new reports of requests that may have crashed an engine,
     ``limits`` new limits that endpoints have named, and ``streams`` the
     versions that began streams. ``leaving`` are runs of endpoints that have
-    told ``host`` that they leave, and ``pauses`` the pauses that endpoints
+    said to ``host`` that they leave, and ``pauses`` the pauses that endpoints
     have asked it for.
     """
 
--- a/src/cairnloom/entry/paths.py
+++ b/src/cairnloom/entry/paths.py
@@ -108,7 +108,7 @@
         )
 
     def note_leaving(self, instance: instances.Instance) -> None:
-        """Record that an endpoint has told this host that it leaves."""
+        """Record that an endpoint has said to this host that it leaves."""
         self._announcements.note_leaving(instance, self._reactor.seconds())
 
     def note_answer(
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -74,8 +74,8 @@
 FLUSH_INTERVAL_SECONDS = 1.0
 WINDOWS_PER_FLUSH = 2
 EXPIRE_INTERVAL_SECONDS = 0.25
-# How long after it was announced a host may hear that an endpoint leaves.
-NEWS_SECONDS = 1.0
+# How long it takes at most until all hosts know that an endpoint leaves.
+REPORT_DELAY_SECONDS = 1.0
 # While the store fails, a host that is not a hub pauses at most this long
 # between store calls. Hubs retry sooner and inform the other hosts.
 LONGEST_NON_HUB_PAUSE_SECONDS = 5.0
@@ -174,7 +174,7 @@
         own_announcements.on_leaving = own_scheduler_client.report_leaving
         own_announcements.on_pause = own_scheduler_client.report_pause
         cluster.directory.grace_seconds = max(
-            0.0, host_settings.bounds.drain - NEWS_SECONDS
+            0.0, host_settings.bounds.drain - REPORT_DELAY_SECONDS
         )
         own_upstream = upstream.Upstream(reactor, platform.read_idle_timeout)
         self._paths = paths.Paths(
--- a/src/cairnloom/gateway/state.py
+++ b/src/cairnloom/gateway/state.py
@@ -135,13 +135,15 @@
             asked=asked,
         )
 
-    def note_leaving(self, run_key: str, told_by: str = '') -> None:
+    def note_leaving(self, run_key: str, reported_by: str = '') -> None:
         """Record that an endpoint has said, here or elsewhere, that it leaves.
 
-        ``told_by`` is the host that reports it, empty if it is this one.
+        ``reported_by`` is the host that reports it, empty if it is this one.
         """
         if self.endpoint_view.note_leaving(run_key):
-            logs.log_event('endpoint_leaves', name=run_key, told_by=told_by)
+            logs.log_event(
+                'endpoint_leaves', name=run_key, reported_by=reported_by
+            )
 
     def start_membership(self, address: str) -> None:
         """Create the membership view, once this gateway's address is known."""
--- a/src/cairnloom/routing/instances.py
+++ b/src/cairnloom/routing/instances.py
@@ -18,7 +18,7 @@
 # So many runs of endpoints are remembered as leaving, also after their rows
 # are gone. The earliest ones are forgotten first.
 MAX_LEAVING = 4096
-MAX_UNLISTED_TOLD = 64
+MAX_UNLISTED_REPORTED = 64
 
 
 @dataclasses.dataclass(frozen=True)
@@ -148,11 +148,11 @@
     def apply(self, change: InstanceChange, now: float) -> bool:
         """Apply one change; return whether it had any effect."""
         entry = self._entries.get(change.name)
-        is_news = self._note_leaving_row(change, now)
+        is_new = self._note_leaving_row(change, now)
         if entry is not None and change.version < entry.version:
-            return is_news
+            return is_new
         if change.version <= self._removed_versions.get(change.name, -1):
-            return is_news
+            return is_new
         if change.instance is None:
             self._removed_versions[change.name] = change.version
             return self._mark_missing(change.name, now)
@@ -175,7 +175,7 @@
         if entry is None or entry.instance != instance:
             self._note_change(change.name)
             return True
-        return is_news
+        return is_new
 
     def note_leaving(self, identity: tuple[str, int], now: float) -> bool:
         """Record that a run of an endpoint has said that it leaves.
@@ -316,7 +316,7 @@
             for identity in self._leaving
             if identity[0] not in self._entries
         ]
-        return run_keys[-MAX_UNLISTED_TOLD:]
+        return run_keys[-MAX_UNLISTED_REPORTED:]
 
     def list_versions(self) -> dict[str, set[str | None]]:
         """Return the software versions of the endpoints of each service.
--- a/src/cairnloom/routing/views.py
+++ b/src/cairnloom/routing/views.py
@@ -47,10 +47,10 @@
 # time.
 DELAY_HALF_LIFE_SECONDS = 10.0
 # So many runs of endpoints are remembered as leaving; the earliest ones are
-# forgotten first. Peers are told only of those that the platform still lists
-# as running, and of so many.
+# forgotten first. Peers get reports only of those that the platform still
+# lists as running, and of so many.
 MAX_LEAVING = 4096
-MAX_LEAVING_TOLD = 64
+MAX_LEAVING_REPORTED = 64
 
 
 @dataclasses.dataclass
@@ -387,7 +387,7 @@
             if tracked_endpoint.entry.state == 'running'
         }
         return [run for run in self._leaving if run in listed_runs][
-            -MAX_LEAVING_TOLD:
+            -MAX_LEAVING_REPORTED:
         ]
 
     def find_objection(self, run_key: str, now: float) -> str:
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -69,7 +69,7 @@
 
 
 class AnnouncementMachine(stateful.RuleBasedStateMachine):
-    """Hosts hear that endpoints leave, and tell each other through hubs."""
+    """Hosts hear that endpoints leave, and inform each other through hubs."""
 
     directory_class = instances.Directory
     announcements_class = announcements.Announcements
@@ -179,11 +179,11 @@
         host, hub = self.pick_host(host), self.hosts[hub % HUB_COUNT]
         if host is hub:
             return
-        told = host.announcements.list_untold(hub.owner)
-        assert len(told) <= announcements.REPORTS_PER_MESSAGE
-        told = [] if host.older_build else told
+        reports = host.announcements.list_unreported(hub.owner)
+        assert len(reports) <= announcements.REPORTS_PER_MESSAGE
+        reports = [] if host.older_build else reports
         revision = host.revisions.get(hub.owner, -1)
-        self.messages.append(('request', host, hub, (told, revision)))
+        self.messages.append(('request', host, hub, (reports, revision)))
 
     @stateful.rule(host=state_machines.INDEX)
     def ask_hubs(self, host):
@@ -212,18 +212,18 @@
             self.apply(host, hub, *content)
         self.check()
 
-    def handle(self, host, hub, told, revision):
+    def handle(self, host, hub, reports, revision):
         if not hub.older_build:
-            hub.announcements.receive(told, host.owner, self.now)
+            hub.announcements.receive(reports, host.owner, self.now)
         update = hub.cluster.build_peer_update(revision)
         unlisted = hub.directory.list_unlisted_leaving()
         if hub.older_build:
             unlisted = []
-        content = (told, hub.directory.revision, update, unlisted)
+        content = (reports, hub.directory.revision, update, unlisted)
         return ('reply', host, hub, content)
 
-    def apply(self, host, hub, told, revision, update, unlisted):
-        host.announcements.note_told(hub.owner, told)
+    def apply(self, host, hub, reports, revision, update, unlisted):
+        host.announcements.note_reported(hub.owner, reports)
         if not host.older_build:
             host.announcements.receive(unlisted, hub.owner, self.now)
         host.cluster.apply_peer_update(update, self.now)
@@ -233,10 +233,10 @@
         """Ask a hub, and get its answer at once."""
         if host is hub:
             return
-        told = host.announcements.list_untold(hub.owner)
-        told = [] if host.older_build else told
+        reports = host.announcements.list_unreported(hub.owner)
+        reports = [] if host.older_build else reports
         revision = host.revisions.get(hub.owner, -1)
-        _, _, _, content = self.handle(host, hub, told, revision)
+        _, _, _, content = self.handle(host, hub, reports, revision)
         self.apply(host, hub, *content)
 
     @stateful.rule()
@@ -249,9 +249,13 @@
             return
         heard = set().union(*(host.heard for host in self.hosts))
         for host in self.hosts:
-            assert host.older_build or not heard & list_ready(host), 'not told'
-            untold = host.announcements.list_untold(self.hosts[0].owner)
-            assert host is self.hosts[0] or not untold, 'told again'
+            assert host.older_build or not heard & list_ready(
+                host
+            ), 'not reported'
+            unreported = host.announcements.list_unreported(
+                self.hosts[0].owner
+            )
+            assert host is self.hosts[0] or not unreported, 'reported again'
         self.check()
 
     @stateful.rule()
@@ -317,16 +321,16 @@
 class OptimisticAnnouncements(announcements.Announcements):
     """Takes each message for delivered."""
 
-    def list_untold(self, hub):
-        told = super().list_untold(hub)
-        self.note_told(hub, told)
-        return told
+    def list_unreported(self, hub):
+        reports = super().list_unreported(hub)
+        self.note_reported(hub, reports)
+        return reports
 
 
 class SilentAnnouncements(announcements.Announcements):
     """Keeps what it has heard to itself, but for its own directory."""
 
-    def list_untold(self, hub):
+    def list_unreported(self, hub):
         return []
 
 
@@ -349,13 +353,13 @@
     for endpoint in endpoints[:6000]:
         own_announcements.note_answer(endpoint, 200, LEAVING, 0.0)
     assert len(cluster.directory._leaving) == instances.MAX_LEAVING
-    told_count = 0
-    while told := own_announcements.list_untold('hub'):
-        assert len(told) <= announcements.REPORTS_PER_MESSAGE
-        assert len(codec.encode(told)) < 4096
-        own_announcements.note_told('hub', told)
-        told_count += len(told)
-    assert told_count == announcements.MAX_REPORTS
+    reported_count = 0
+    while reports := own_announcements.list_unreported('hub'):
+        assert len(reports) <= announcements.REPORTS_PER_MESSAGE
+        assert len(codec.encode(reports)) < 4096
+        own_announcements.note_reported('hub', reports)
+        reported_count += len(reports)
+    assert reported_count == announcements.MAX_REPORTS
     unusable = own_announcements.list_unusable('model', 0.0)
     assert len(unusable) == announcements.MAX_NAMES_PER_PLACEMENT
     assert len(cluster.directory.ready('model')) == 6000
@@ -368,11 +372,11 @@
 @pytest.mark.parametrize(
     'faulty_classes, failure',
     [
-        ({'directory_class': BelievingDirectory}, 'undone|not told'),
+        ({'directory_class': BelievingDirectory}, 'undone|not reported'),
         ({'directory_class': NameDirectory}, 'sound run not used'),
-        ({'directory_class': ForgettingDirectory}, 'undone|not told'),
-        ({'announcements_class': OptimisticAnnouncements}, 'not told'),
-        ({'announcements_class': SilentAnnouncements}, 'not told'),
+        ({'directory_class': ForgettingDirectory}, 'undone|not reported'),
+        ({'announcements_class': OptimisticAnnouncements}, 'not reported'),
+        ({'announcements_class': SilentAnnouncements}, 'not reported'),
     ],
 )
 def test_faulty_announcements_are_caught(faulty_classes, failure):
--- a/tests/test_path_choice.py
+++ b/tests/test_path_choice.py
@@ -78,7 +78,7 @@
         self.row_version = 10
         self.received = []
         self.faults = []
-        self.news_while_connecting = False
+        self.report_while_connecting = False
         self.hosts = [Host(self, number) for number in range(HOST_COUNT)]
 
     def seconds(self):
@@ -160,7 +160,7 @@
             return await self.open_host(call)
         self.raise_objection(call)
         await self.connect_idle(call.instance, connect_seconds)
-        if self.world.news_while_connecting:
+        if self.world.report_while_connecting:
             self.announcements.receive([call.instance.run_key], 'x', 0.0)
             self.heard.add(call.instance.run_key)
         self.raise_objection(call)
@@ -235,9 +235,9 @@
         host=state_machines.INDEX,
         endpoint=state_machines.INDEX,
         faults=st.lists(st.sampled_from(['', 'before', 'after']), max_size=6),
-        news_while_connecting=st.booleans(),
+        report_while_connecting=st.booleans(),
     )
-    def send(self, host, endpoint, faults, news_while_connecting):
+    def send(self, host, endpoint, faults, report_while_connecting):
         world = self.world
         sender = world.hosts[host % HOST_COUNT]
         if not sender.alive:
@@ -246,11 +246,11 @@
         self.request_count += 1
         request = 'r%d' % self.request_count
         world.faults = list(faults)
-        world.news_while_connecting = news_while_connecting
+        world.report_while_connecting = report_while_connecting
         had_heard = target.run_key in sender.heard
         result = send(world, sender, target, request)
         world.faults = []
-        world.news_while_connecting = False
+        world.report_while_connecting = False
         if had_heard:
             assert not isinstance(
                 result, FakeResponse
