Learn how long prefills take from the engines, overhead and rate together

Cause: the time of a prefill was a constant of 55 ms plus a learned rate that began at 40,000 tokens a second. The rate took no sample shorter than the constant, so engines whose whole prefill takes less taught it nothing, and such a little longer taught nonsense. Ruled out: events that reach the hub late (30 ms, against errors of 150 ms); slow engines (p10 and p50 of the measured times agree up to the burst).

Now both are fitted to samples of idle engines, and so is the handover. The first event comes with the time that the sending host measured, so that the slowdown of an engine no longer contains the delay of reports. Penalties that were seconds are prompt tokens and scale with the engines. Hosts take over what another one has learned from at least twice as many requests, so a new scheduling hub does not start from the assumed figures.

Conclusion: what depends on the engines is measured, not assumed.

--- a/src/cairnloom/entry/attempts.py
+++ b/src/cairnloom/entry/attempts.py
@@ -28,7 +28,7 @@
     phase: work.Phase,
     start_delay: float = 0.0,
     on_accepted: Callable[[], None] = lambda: None,
-    on_first_event: Callable[[], None] = lambda: None,
+    on_first_event: Callable[[float], None] = lambda seconds: None,
 ) -> outcomes.Outcome:
     """Send a request to an endpoint and pass its answer on to the caller.
 
@@ -38,7 +38,8 @@
     request is billed only if the endpoint has begun a stream that was sent to
     it later; otherwise the endpoint may not have started the request yet.
     ``on_accepted`` is called when the endpoint accepts a stream, and
-    ``on_first_event`` when the first event arrives.
+    ``on_first_event`` when the first event arrives, with the seconds since the
+    request was sent.
     """
     host = request.host
     if not request.may_run_on(instance):
@@ -60,7 +61,7 @@
 
             def note_first_event() -> None:
                 stats.note_stream_begun(sent_at)
-                on_first_event()
+                on_first_event(host.now() - sent_at)
 
             stream = _Stream(request, instance, on_accepted, note_first_event)
             outcome = await stream.run(phase)
--- a/src/cairnloom/entry/generation.py
+++ b/src/cairnloom/entry/generation.py
@@ -211,9 +211,9 @@
     def _note_accepted(self) -> None:
         self._cache_handle = None
 
-    def _note_stream_begun(self) -> None:
+    def _note_stream_begun(self, seconds: float) -> None:
         self._host.scheduler_client.report_event(
-            scheduler.PlacementEvent(self._placement_id, 'begun')
+            scheduler.PlacementEvent(self._placement_id, 'begun', seconds)
         )
 
     def _note_engine_failed(self, engine: str) -> None:
--- a/src/cairnloom/entry/hubs.py
+++ b/src/cairnloom/entry/hubs.py
@@ -147,6 +147,7 @@
             ),
             names_software=True,
             leaving=cluster.directory.list_unlisted_leaving(),
+            speed=self._host.endpoint_selector.speed.make_report(),
         )
 
     async def _ask_unknown_hosts(self) -> None:
@@ -287,6 +288,8 @@
         host.quarantine.merge(reply.marks, now)
         host.crashing_parts.merge(reply.findings, now)
         host.rate_limits.merge(reply.limit_reports or [], now)
+        if reply.speed is not None:
+            host.endpoint_selector.speed.adopt(reply.speed)
         self._apply_hosts(reply, now)
         if now - sent_at < MAX_CLOCK_ROUND_TRIP_SECONDS:
             midpoint = (now + sent_at) / 2
--- a/src/cairnloom/entry/messages.py
+++ b/src/cairnloom/entry/messages.py
@@ -9,6 +9,7 @@
 from ..coordination import rows
 from ..coordination import usage
 from ..routing import crashing_parts
+from ..routing import engine_speed
 from ..routing import exchange
 from ..routing import quarantine
 from ..routing import rate_limits
@@ -75,7 +76,8 @@
     request; ``limits`` is their revision. ``names_software`` is set if the
     endpoints come with their software versions, which hosts of older builds
     leave out. ``leaving`` are runs of endpoints that leave and that are not
-    among ``endpoints``, as the sender has not read their rows.
+    among ``endpoints``, as the sender has not read their rows. ``speed`` is
+    what the sender has learned about the speed of the engines.
     """
 
     owner: str
@@ -94,6 +96,7 @@
     limit_reports: list[rate_limits.LimitReport] | None = None
     names_software: bool = False
     leaving: list[str] = dataclasses.field(default_factory=list)
+    speed: engine_speed.SpeedReport | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/entry/status.py
+++ b/src/cairnloom/entry/status.py
@@ -104,7 +104,7 @@
         host.leaving,
         in_flight,
         host.clock.offset,
-        host.endpoint_selector.prefill_rate,
+        host.endpoint_selector.speed.prefill_rate,
         {
             name: budget.left(now, host.host_count)
             for name, budget in host.retry_budgets.items()
--- a/src/cairnloom/routing/endpoint_stats.py
+++ b/src/cairnloom/routing/endpoint_stats.py
@@ -74,12 +74,17 @@
         """Start timing a request that should take ``expected_seconds``."""
         self._in_progress[request] = (now, expected_seconds)
 
-    def end(self, request: str, now: float) -> None:
-        """Take a sample from a request that has completed."""
+    def end(self, request: str, now: float, seconds: float = 0.0) -> None:
+        """Take a sample from a request that has completed.
+
+        ``seconds`` is how long it took, if that was measured where it was
+        sent. Otherwise it is timed here, which includes the time until its
+        completion was reported.
+        """
         timing = self._in_progress.pop(request, None)
         if timing is None:
             return
-        ratio = (now - timing[0]) / timing[1]
+        ratio = (seconds or now - timing[0]) / timing[1]
         self._ratios.append(min(max(ratio, MIN_SLOWDOWN), MAX_SLOWDOWN))
         if len(self._ratios) == SLOWDOWN_SAMPLES:
             self._factor = statistics.median(self._ratios)
--- a/src/cairnloom/routing/scheduler.py
+++ b/src/cairnloom/routing/scheduler.py
@@ -103,7 +103,9 @@
     The kind ``read`` means that a separate prefill is done, ``begun`` that the
     first event of the answer has arrived, and ``ended`` that the request is
     over. ``failed`` means that an engine failed; its name is in the field
-    ``failed``. ``seconds`` is the duration of the prefill.
+    ``failed``. ``seconds`` is the time that the engine took, measured where
+    the request was sent: until the end of the prefill for ``read``, until the
+    first event for ``begun``. It is 0 if the sender doesn't measure it.
     """
 
     request: str
@@ -208,8 +210,11 @@
             case 'read':
                 self._complete_prefill(reservation, event.seconds, now)
             case 'begun':
-                self._complete_prefill(reservation, 0.0, now)
-                self._complete_transfer(reservation, now)
+                if reservation.decode_choice is None:
+                    self._complete_prefill(reservation, event.seconds, now)
+                else:
+                    self._complete_prefill(reservation, 0.0, now)
+                    self._complete_transfer(reservation, event.seconds, now)
                 reservation.begun_at = now
             case 'failed':
                 reservation.parts = ()
@@ -578,24 +583,27 @@
         if reservation.prefill_stats is None:
             return
         reservation.prefill_stats.prefill_slowdown.end(
-            reservation.request, now
+            reservation.request, now, seconds
         )
         if reservation.was_idle:
-            self._selector.note_prefill(reservation.new_tokens, seconds)
+            self._selector.speed.note_prefill(reservation.new_tokens, seconds)
         self._release_prefill(reservation)
         self._begin_transfer(reservation, now)
 
     def _complete_transfer(
-        self, reservation: _Reservation, now: float
+        self, reservation: _Reservation, seconds: float, now: float
     ) -> None:
-        if reservation.decode_choice is not None:
-            reservation.decode_stats.transfer_slowdown.end(
-                reservation.request, now
-            )
-            reservation.decode_stats.incoming_tokens -= (
-                reservation.prompt_tokens
+        decode_choice = reservation.decode_choice
+        if decode_choice is None:
+            return
+        stats = reservation.decode_stats
+        stats.transfer_slowdown.end(reservation.request, now, seconds)
+        stats.incoming_tokens -= reservation.prompt_tokens
+        if seconds and not decode_choice.waits and not stats.incoming_tokens:
+            self._selector.speed.note_handover(
+                seconds - decode_choice.transfer_seconds
             )
-            reservation.decode_choice = None
+        reservation.decode_choice = None
 
     def _release_prefill(self, reservation: _Reservation) -> None:
         stats = reservation.prefill_stats
--- a/src/cairnloom/routing/selection.py
+++ b/src/cairnloom/routing/selection.py
@@ -18,56 +18,49 @@
 from typing import Iterable
 
 from . import endpoint_stats
+from . import engine_speed
 from . import instances
 from . import routes
 from . import work
 
-# Assumed prefill rate of an engine that only prefills, in tokens per second,
-# while none has been measured.
-INITIAL_PREFILL_RATE = 40000.0
 # A decode engine prefills between its decode steps. Its prefill rate is this
 # share of the rate of an engine that only prefills.
 DECODE_ENGINE_PREFILL_SPEED = 0.5
-# Fixed overhead in seconds of every prefill, however short the prompt.
-PREFILL_OVERHEAD_SECONDS = 0.055
 # Assumed duration of the decode in seconds while none has been measured.
 INITIAL_DECODE_SECONDS = 1.0
 # Weight of one sample in the learned duration of the decode.
 DECODE_SECONDS_WEIGHT = 0.05
-# Weight of one sample in the learned prefill rate.
-PREFILL_RATE_WEIGHT = 0.1
-# Prompts with fewer tokens than this say little about the prefill rate.
-MIN_RATE_SAMPLE_TOKENS = 3000
 # A prefill may hold up the answers that its engine is decoding for this share
 # of the longest allowed pause between events.
 PAUSE_SHARE = 0.65
-# Penalty in seconds for each answer that a prefill would hold up for longer
-# than that share of the pause, and the maximum number of answers that are
-# counted. The penalty weighs as much as the same additional delay of the new
-# request itself.
-HELD_UP_PENALTY_SECONDS = 0.3
+# Penalties below are given in prompt tokens: each weighs as much as the time
+# that an engine which only prefills takes for so many tokens.
+#
+# Penalty for each answer that a prefill would hold up for longer than that
+# share of the pause, and the maximum number of answers that are counted. The
+# penalty weighs as much as the same additional delay of the new request
+# itself.
+HELD_UP_PENALTY_TOKENS = 12000
 MAX_HELD_UP_COUNTED = 3
-# Overhead in seconds if decode and prefill run on different engines.
-HANDOVER_SECONDS = 0.03
 # Penalty for an endpoint in another failure domain than this host. It counts
 # like this many additional requests at the endpoint.
 OTHER_DOMAIN_PENALTY = 0.5
 # The transfer of a KV cache to another failure domain takes this many times as
 # long as a transfer within a failure domain.
 OTHER_DOMAIN_TRANSFER_FACTOR = 2.0
-# Penalty in seconds for each request that a decode engine runs. It is small
-# because a decode step takes little longer with more requests.
-PENALTY_SECONDS_PER_REQUEST = 0.01
-# Bonus in seconds for the decode engine that is the home engine of the
-# prompt's shared parts.
-HOME_BONUS_SECONDS = 0.06
-# Penalty in seconds for fetching cached parts from another engine. The
-# transfer takes time, and the copy uses memory that could hold other parts.
-FETCH_PENALTY_SECONDS = 0.04
-# Penalty in seconds for the prefill of uncached shared parts on another engine
-# than their home engine. It makes hosts that place the same parts at the same
-# time choose the same engine.
-AWAY_PENALTY_SECONDS = 0.03
+# Penalty for each request that a decode engine runs. It is small because a
+# decode step takes little longer with more requests.
+PENALTY_TOKENS_PER_REQUEST = 400
+# Bonus for the decode engine that is the home engine of the prompt's shared
+# parts.
+HOME_BONUS_TOKENS = 2400
+# Penalty for fetching cached parts from another engine. The transfer takes
+# time, and the copy uses memory that could hold other parts.
+FETCH_PENALTY_TOKENS = 1600
+# Penalty for the prefill of uncached shared parts on another engine than their
+# home engine. It makes hosts that place the same parts at the same time choose
+# the same engine.
+AWAY_PENALTY_TOKENS = 1200
 
 
 # Number of home engines that are remembered for a group of engines. Each entry
@@ -114,13 +107,17 @@
     """The engine for a decode that starts with a KV cache transfer.
 
     ``seconds`` is the expected time until the decode starts;
-    ``nominal_seconds`` is the expected duration of the transfer alone, without
-    the measured slowdown of the engine's link.
+    ``nominal_seconds`` is the expected duration of the handover alone, without
+    the measured slowdown of the engine's link. ``transfer_seconds`` of these
+    pass on the link. ``waits`` is set if the decode is expected to wait for
+    other requests.
     """
 
     engine: endpoint_stats.Candidate
     seconds: float
     nominal_seconds: float
+    transfer_seconds: float
+    waits: bool
 
 
 @dataclasses.dataclass(frozen=True)
@@ -226,7 +223,7 @@
     ) -> None:
         self._registry = registry
         self._failure_domain = domain
-        self.prefill_rate = INITIAL_PREFILL_RATE
+        self.speed = engine_speed.EngineSpeed()
         self.decode_seconds = INITIAL_DECODE_SECONDS
 
     def choose_for_plain_request(
@@ -285,25 +282,32 @@
                 else OTHER_DOMAIN_TRANSFER_FACTOR * link_seconds_per_token
             )
             slowdown = stats.transfer_slowdown.estimate(now)
-            nominal_seconds = (
-                HANDOVER_SECONDS + model_work.prompt_tokens * seconds_per_token
-            )
+            transfer_seconds = model_work.prompt_tokens * seconds_per_token
+            nominal_seconds = self.speed.handover + transfer_seconds
             transfer_wait = (
                 stats.incoming_tokens * seconds_per_token * slowdown
                 - prefill_seconds
             )
-            seconds = max(0.0, transfer_wait) + nominal_seconds * slowdown
-            seconds += self._estimate_memory_wait(stats, model_work, spec)
-            score = seconds + PENALTY_SECONDS_PER_REQUEST * (
-                stats.estimate_running(now)
+            wait = max(0.0, transfer_wait)
+            wait += self._estimate_memory_wait(stats, model_work, spec)
+            seconds = wait + nominal_seconds * slowdown
+            penalty_tokens = (
+                PENALTY_TOKENS_PER_REQUEST * stats.estimate_running(now)
             )
             if engine is home_engine:
-                score -= HOME_BONUS_SECONDS
+                penalty_tokens -= HOME_BONUS_TOKENS
             if stats.count_pending_tokens() > harmless_tokens:
-                score += HELD_UP_PENALTY_SECONDS
+                penalty_tokens += HELD_UP_PENALTY_TOKENS
+            score = seconds + penalty_tokens / self.speed.prefill_rate
             if score < lowest_score:
                 best_choice, lowest_score = (
-                    DecodeChoice(engine, seconds, nominal_seconds),
+                    DecodeChoice(
+                        engine,
+                        seconds,
+                        nominal_seconds,
+                        transfer_seconds,
+                        bool(wait or stats.incoming_tokens or stats.pending),
+                    ),
                     score,
                 )
         return best_choice
@@ -344,7 +348,7 @@
                 continue
             score = plan.score
             if home_engine and home_engine.instance.software != version:
-                score += AWAY_PENALTY_SECONDS
+                score += AWAY_PENALTY_TOKENS / self.speed.prefill_rate
             if score < lowest_score:
                 best_plan, lowest_score = plan, score
         return best_plan
@@ -377,7 +381,7 @@
         harmless_tokens = (
             PAUSE_SHARE
             * targets.pause
-            * self.prefill_rate
+            * self.speed.prefill_rate
             * DECODE_ENGINE_PREFILL_SPEED
         )
         combined_choice = self._choose_prefill_engine(
@@ -416,14 +420,6 @@
             return on_one_engine
         return Plan(separate_choice, decode_choice, seconds)
 
-    def note_prefill(self, tokens: int, seconds: float) -> None:
-        """Learn the prefill rate from a prefill that ran alone."""
-        prefill_seconds = seconds - PREFILL_OVERHEAD_SECONDS
-        if tokens >= MIN_RATE_SAMPLE_TOKENS and prefill_seconds > 0:
-            self.prefill_rate += PREFILL_RATE_WEIGHT * (
-                tokens / prefill_seconds - self.prefill_rate
-            )
-
     def note_decode(self, seconds: float) -> None:
         """Learn the duration of a decode from one that took ``seconds``."""
         self.decode_seconds += DECODE_SECONDS_WEIGHT * (
@@ -462,7 +458,10 @@
             return None
         relative_speed = DECODE_ENGINE_PREFILL_SPEED if also_decodes else 1.0
         home_engine = usable_engines.find_home(query.shared_parts)
-        prefill_rate = self.prefill_rate * relative_speed
+        prefill_rate = self.speed.prefill_rate * relative_speed
+        fetch_penalty = FETCH_PENALTY_TOKENS / self.speed.prefill_rate
+        away_penalty = AWAY_PENALTY_TOKENS / self.speed.prefill_rate
+        held_up_penalty = HELD_UP_PENALTY_TOKENS / self.speed.prefill_rate
         total_tokens = query.model_work.prompt_tokens
         best_engine = usable_engines.members[0]
         lowest_score = best_nominal_seconds = float('inf')
@@ -470,16 +469,16 @@
         for engine in usable_engines.members:
             stats = engine.stats
             cached_tokens = query.count_cached_at(stats)
-            nominal_seconds = PREFILL_OVERHEAD_SECONDS
+            nominal_seconds = self.speed.prefill_overhead
             if query.most_cached_tokens > cached_tokens:
                 cached_tokens = query.most_cached_tokens
-                nominal_seconds += FETCH_PENALTY_SECONDS
+                nominal_seconds += fetch_penalty
             elif (
                 not cached_tokens
                 and query.shared_parts
                 and engine is not home_engine
             ):
-                nominal_seconds += AWAY_PENALTY_SECONDS
+                nominal_seconds += away_penalty
             tokens_to_prefill = stats.queued_tokens(query.urgency, query.now)
             tokens_to_prefill += max(0, total_tokens - cached_tokens)
             nominal_seconds += tokens_to_prefill / prefill_rate
@@ -492,7 +491,7 @@
                 )
             penalty = 0.0
             if tokens_to_prefill > harmless_tokens:
-                penalty = HELD_UP_PENALTY_SECONDS * min(
+                penalty = held_up_penalty * min(
                     MAX_HELD_UP_COUNTED, stats.count_decoding()
                 )
             if seconds + penalty < lowest_score:
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -61,7 +61,7 @@
         patterns.DomainLoss(domain='b', at=CACHES_FILLED_AT, seconds=100)
     ]
     with_bonus = simulate(losses=losses)
-    monkeypatch.setattr(selection, 'HOME_BONUS_SECONDS', 0.0)
+    monkeypatch.setattr(selection, 'HOME_BONUS_TOKENS', 0.0)
     without_bonus = simulate(losses=losses)
     assert with_bonus.goodput(CACHES_FILLED_AT) > without_bonus.goodput(
         CACHES_FILLED_AT
@@ -71,7 +71,7 @@
 
 def test_prefills_hold_up_few_answers(monkeypatch):
     with_penalty = simulate(per_second=24)
-    monkeypatch.setattr(selection, 'HELD_UP_PENALTY_SECONDS', 0.0)
+    monkeypatch.setattr(selection, 'HELD_UP_PENALTY_TOKENS', 0.0)
     monkeypatch.setattr(selection, 'PAUSE_SHARE', 100.0)
     without_penalty = simulate(per_second=24)
     assert with_penalty.held_up < without_penalty.held_up / 2
