Accept only what can be in time once the load is above what engines can do

Cause: a prompt was refused only if it would miss its deadline. Under a lasting overload the queues then settle at the deadline; every answer is late, and each error of the estimate is a failure.

Now admission/overload.py detects that the wait for others grows to 0.7 of the caller's time; from then until nothing had to be refused for four targets, only what meets its target is accepted, the rest is refused at once with the excess as Retry-After. A long prompt may wait half a target whatever it takes itself. The change of state is logged (event=overload).

--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -157,6 +157,7 @@
             limits,
         )
         self._scheduler.on_parts_cached = load_exchange.note_parts
+        self._scheduler.overload.on_change = _log_overload
         own_scheduler_client = scheduler_client.SchedulerClient(
             reactor, self._members, self._scheduler, self._peers, limits
         )
@@ -591,6 +592,12 @@
     )
 
 
+def _log_overload(service: str, urgency: int, overloaded: bool) -> None:
+    logs.log_event(
+        'overload', service=service, urgency=urgency, overloaded=overloaded
+    )
+
+
 def _log_limit(endpoint: str, rate: float | None) -> None:
     logs.log_event('rate_limit', endpoint=endpoint, rate=rate)
 
--- a/src/cairnloom/routing/scheduler.py
+++ b/src/cairnloom/routing/scheduler.py
@@ -12,6 +12,8 @@
 from typing import Callable
 from typing import Literal
 
+from ..admission import overload
+
 from . import crashing_parts
 from . import endpoint_stats
 from . import instances
@@ -84,7 +86,8 @@
     """No engine can or may serve the request in time.
 
     ``late`` is the number of seconds by which the best engine would be late,
-    or 0 if there is no engine at all. If a part of the prompt crashes engines,
+    or too busy while the load is above what the engines can do. It is 0 if
+    there is no engine at all. If a part of the prompt crashes engines,
     it is the number of seconds for which the part is refused. If the engines
     limit their requests, it is the number of seconds until one takes another.
     """
@@ -163,6 +166,7 @@
         self._groups_by_service: dict[str, selection.EngineGroups] = {}
         self._groups_revision = -1
         self._reservations: dict[str, _Reservation] = {}
+        self.overload = overload.OverloadDetector()
         self.on_parts_cached: Callable[
             [str, tuple[work.PromptPart, ...]], None
         ] = lambda name, parts: None
@@ -352,9 +356,20 @@
         )
         if plan is None:
             return PlacementRefused('no engine')
-        late_seconds = plan.seconds - placement_request.left
-        if late_seconds > 0 and not placement_request.resumes:
-            return PlacementRefused('too late', late_seconds)
+        if not placement_request.resumes:
+            late_seconds = max(
+                plan.seconds - placement_request.left,
+                self.overload.measure_excess(
+                    placement_request.service,
+                    placement_request.urgency,
+                    self._selector.measure_wait(
+                        plan, placement_request.targets, placement_request.left
+                    ),
+                    now,
+                ),
+            )
+            if late_seconds > 0:
+                return PlacementRefused('too late', late_seconds)
         return self._reserve(host, placement_request, plan, spec, now)
 
     def _place_within_limits(
--- a/src/cairnloom/routing/selection.py
+++ b/src/cairnloom/routing/selection.py
@@ -17,6 +17,8 @@
 import itertools
 from typing import Iterable
 
+from ..admission import overload
+
 from . import endpoint_stats
 from . import engine_speed
 from . import instances
@@ -420,6 +422,22 @@
             return on_one_engine
         return Plan(separate_choice, decode_choice, seconds)
 
+    def measure_wait(
+        self, plan: Plan, targets: LatencyTargets, patience: float
+    ) -> overload.ExpectedWait:
+        """Compare a plan with one on engines that have nothing to do."""
+        relative_speed = DECODE_ENGINE_PREFILL_SPEED
+        idle_seconds = 0.0
+        if plan.decode is not None:
+            relative_speed = 1.0
+            idle_seconds = plan.decode.nominal_seconds
+        idle_seconds += self.speed.estimate_prefill(
+            plan.prefill.new_tokens / relative_speed
+        )
+        return overload.ExpectedWait(
+            plan.seconds, idle_seconds, targets.first_answer, patience
+        )
+
     def note_decode(self, seconds: float) -> None:
         """Learn the duration of a decode from one that took ``seconds``."""
         self.decode_seconds += DECODE_SECONDS_WEIGHT * (
