Send hosts the changes of the list of hosts; spread the calls of hubs

With 195 hosts each change of one host sent all 195 rows to every host, and to every hub by every hub. Each hub asked every other one five times a second, and the hub that places all model work also answered its share of the others.

Now a hub keeps the revision of each row and of removals (512 of them) and sends what has changed since the host's revision; the whole list goes to hosts that have none, that come from an older build, or that are too far behind. A hub asks the others in turns of three rounds (0.6 s, before reported loads expire after 1 s). With more than 64 hosts the first hub answers no syncs of hosts while others do, and hosts ask every third round instead of every second. Up to 64 hosts nothing changes but the changes of the list.

--- a/src/cairnloom/entry/hubs.py
+++ b/src/cairnloom/entry/hubs.py
@@ -30,10 +30,15 @@
 from . import stream_origins
 
 # The interval between two synchronization rounds. Hubs ask the other hubs in
-# every round. Other hosts ask a hub only in every second round
-# (ROUNDS_PER_SYNC).
+# turn, all of them within ROUNDS_PER_TURN, and at least MIN_HUBS_PER_ROUND in
+# each round. Other hosts ask a hub only in every second round, or third round
+# if there are more than MANY_HOSTS hosts.
 SYNC_INTERVAL_SECONDS = 0.2
+ROUNDS_PER_TURN = 3
+MIN_HUBS_PER_ROUND = 2
 ROUNDS_PER_SYNC = 2
+ROUNDS_PER_SYNC_OF_MANY = 3
+MANY_HOSTS = 64
 # A hub answers within milliseconds. After this time the next hub is asked.
 TIMEOUT_SECONDS = 0.3
 # How many hubs a host tries in one round if some do not answer.
@@ -96,7 +101,7 @@
             await self._ask_hubs(now)
             return
         self._round_count += 1
-        if self._round_count % ROUNDS_PER_SYNC:
+        if self._round_count % rounds_per_sync(self._members.count()):
             return
         for _ in range(MAX_ATTEMPTS):
             hub = self._choose_hub(now)
@@ -123,9 +128,12 @@
         if table is not None and table.version > request.configuration:
             document = base64.b64encode(cluster.document).decode()
         limits = self._host.rate_limits
-        listed_hosts = None
+        listed_hosts = changed_hosts = None
         if request.hosts != self._members.revision:
-            listed_hosts = self._members.list_running_hosts(now)
+            if request.takes_changes:
+                changed_hosts = self._members.list_changes(request.hosts, now)
+            if changed_hosts is None:
+                listed_hosts = self._members.list_running_hosts(now)
         return messages.SyncReply(
             owner=self._members.own_row.owner,
             fresh=cluster.is_store_reachable() and cluster.is_ready(),
@@ -148,6 +156,7 @@
             names_software=True,
             leaving=cluster.directory.list_unlisted_leaving(),
             speed=self._host.endpoint_selector.speed.make_report(),
+            changes=changed_hosts,
         )
 
     async def _ask_unknown_hosts(self) -> None:
@@ -167,12 +176,7 @@
         )
 
     async def _ask_hubs(self, now: float) -> None:
-        targets = [
-            hub
-            for hub in self._members.hubs()
-            if hub.host != self._members.own_row.host
-            and not self._members.is_avoided(hub, now)
-        ]
+        targets = self._choose_hubs_of_round(now)
         if not self._host.cluster_state.is_store_reachable():
             fallback_hub = self._choose_hub(now)
             if fallback_hub is not None and fallback_hub not in targets:
@@ -180,18 +184,43 @@
         if targets:
             await self._ask_all(targets, self._host.exchange.make_message())
 
+    def _choose_hubs_of_round(self, now: float) -> list[members.HostRow]:
+        """Return the other hubs whose turn it is.
+
+        Loads that hubs report must not expire before their next turn.
+        """
+        other_hubs = [
+            hub
+            for hub in self._members.hubs()
+            if hub.host != self._members.own_row.host
+        ]
+        count = len(other_hubs)
+        count_per_round = min(
+            count, max(MIN_HUBS_PER_ROUND, -(-count // ROUNDS_PER_TURN))
+        )
+        start = self._round_count * count_per_round
+        self._round_count += 1
+        turn = [
+            other_hubs[(start + offset) % count]
+            for offset in range(count_per_round)
+        ]
+        return [hub for hub in turn if not self._members.is_avoided(hub, now)]
+
     def _choose_hub(self, now: float) -> members.HostRow | None:
         """Return the hub to ask, None if no other host is known.
 
         Each host ranks the hubs by a hash of its own name and the hub's name,
-        which spreads the hosts evenly over the hubs.
+        which spreads the hosts evenly over the hubs. If there are many hosts,
+        the first hub is busy placing their requests, and the others answer.
         """
         candidates = self._members.candidates(now) or self._seeds
         if not candidates:
             return None
+        host_count = self._members.count()
+        first = 1 if host_count > MANY_HOSTS else 0
         preferred_hubs = [
             row
-            for row in candidates[: members.hub_count(self._members.count())]
+            for row in candidates[first : members.hub_count(host_count)]
             if not self._members.is_avoided(row, now)
         ]
         if not preferred_hubs:
@@ -254,6 +283,7 @@
             findings=host.crashing_parts.list_findings(now),
             limits=limits,
             leaving=host.announcements.list_unreported(hub.owner),
+            takes_changes=True,
         )
         if load is None:
             return request
@@ -299,6 +329,11 @@
 
     def _apply_hosts(self, reply: messages.SyncReply, now: float) -> None:
         if self._members.is_hub():
+            if reply.changes is not None:
+                # A hub drops hosts by itself.
+                self._members.apply_changes(
+                    dataclasses.replace(reply.changes, removed=[]), now
+                )
             for seen_host in reply.rows or ():
                 self._members.note_seen(
                     seen_host.row, now, seen_host.age, heard_directly=False
@@ -306,9 +341,18 @@
         elif reply.rows is not None:
             self._members.replace(reply.rows, now)
         else:
+            if reply.changes is not None:
+                self._members.apply_changes(reply.changes, now)
             self._members.refresh(now, reply.oldest)
 
 
+def rounds_per_sync(host_count: int) -> int:
+    """Return in how many rounds a host that is no hub asks one of them."""
+    if host_count > MANY_HOSTS:
+        return ROUNDS_PER_SYNC_OF_MANY
+    return ROUNDS_PER_SYNC
+
+
 def build_handlers(
     hub_sync: HubSync,
     host: state.HostContext,
--- a/src/cairnloom/entry/members.py
+++ b/src/cairnloom/entry/members.py
@@ -8,6 +8,7 @@
 no hub connected to the store follows the store itself.
 """
 
+import collections
 import dataclasses
 import hashlib
 import statistics
@@ -29,6 +30,9 @@
 # How long the highest number of hosts is remembered. This is longer than any
 # window over which the hosts share a budget.
 HIGHEST_COUNT_SECONDS = 12.0
+# How many hosts that were removed are remembered, so that other hosts can be
+# sent the removals instead of the whole list.
+MAX_REMOVED = 512
 # The start time of a host that cannot express it on the store's clock yet.
 # Such a host is ranked last among hosts of equal capacity.
 UNKNOWN_START = 1e12
@@ -63,6 +67,14 @@
     age: float
 
 
+@dataclasses.dataclass(frozen=True)
+class HostChanges:
+    """Hosts whose rows have changed since a revision, and removed hosts."""
+
+    changed: list[SeenHost]
+    removed: list[str]
+
+
 @dataclasses.dataclass
 class _HostRecord:
     row: HostRow
@@ -83,6 +95,11 @@
     def __init__(self, own_row: HostRow) -> None:
         self.own_row = own_row
         self.revision = 0
+        self._changed_at: dict[str, int] = {own_row.host: 0}
+        self._removed_at: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._oldest_known_revision = 0
         self._lost_hosts: dict[str, _LostHost] = {}
         self._returned_at = float('-inf')
         self._records: dict[str, _HostRecord] = {}
@@ -110,7 +127,7 @@
         if record is not None and last_seen_at <= record.seen_at:
             return
         if record is None or _differs(record.row, row):
-            self._note_change()
+            self._note_change(row.host)
         self._records[row.host] = _HostRecord(
             row, last_seen_at, heard_directly
         )
@@ -155,6 +172,16 @@
                 seen_host.row, now, seen_host.age, heard_directly=False
             )
 
+    def apply_changes(self, changes: HostChanges, now: float) -> None:
+        """Apply the changes of a hub's list of hosts."""
+        for host in changes.removed:
+            if host in self._records:
+                self._drop(host, now)
+        for seen_host in changes.changed:
+            self.note_seen(
+                seen_host.row, now, seen_host.age, heard_directly=False
+            )
+
     def refresh(self, now: float, max_age: float) -> None:
         """Record that another host has confirmed the same list of hosts.
 
@@ -183,6 +210,25 @@
         ]
         return [SeenHost(self.own_row, 0.0), *other_hosts]
 
+    def list_changes(self, revision: int, now: float) -> HostChanges | None:
+        """Return the changes of the list of hosts since a revision.
+
+        Returns None if they are no longer known.
+        """
+        if not self._oldest_known_revision <= revision <= self.revision:
+            return None
+        changed = [
+            seen_host
+            for seen_host in self.list_running_hosts(now)
+            if self._changed_at[seen_host.row.host] > revision
+        ]
+        removed = [
+            host
+            for host, removed_at in self._removed_at.items()
+            if removed_at > revision
+        ]
+        return HostChanges(changed, removed)
+
     def is_running(self, host: str) -> bool:
         """Return whether another host is in the list of running hosts."""
         return host in self._records
@@ -259,7 +305,7 @@
         old_row = self.own_row
         self.own_row = dataclasses.replace(old_row, **changes)  # type: ignore
         if _differs(old_row, self.own_row):
-            self._note_change()
+            self._note_change(self.own_row.host)
 
     def _drop(self, host: str, now: float) -> None:
         record = self._records.pop(host)
@@ -267,7 +313,13 @@
             self._lost_hosts[host] = _LostHost(
                 record.row.owner, record.seen_at, now
             )
-        self._note_change()
+        self._note_change(host)
+        del self._changed_at[host]
+        self._removed_at[host] = self.revision
+        if len(self._removed_at) > MAX_REMOVED:
+            _, self._oldest_known_revision = self._removed_at.popitem(
+                last=False
+            )
 
     def _note_return(
         self, row: HostRow, last_seen_at: float, now: float
@@ -295,8 +347,10 @@
             self._ranking = rank([row for row in rows if not row.leaving])
         return self._ranking
 
-    def _note_change(self) -> None:
+    def _note_change(self, host: str) -> None:
         self.revision += 1
+        self._changed_at[host] = self.revision
+        self._removed_at.pop(host, None)
         self._ranking = None
 
 
--- a/src/cairnloom/entry/messages.py
+++ b/src/cairnloom/entry/messages.py
@@ -45,7 +45,9 @@
     knows of, and ``findings`` what it knows of prompt parts that crash
     engines. If the sender is a hub, ``heard`` lists the hosts that called it
     directly and ``load`` is the load that it placed. ``leaving`` are runs of
-    endpoints that have said to the sender that they leave.
+    endpoints that have said to the sender that they leave. ``takes_changes``
+    is set if the sender takes changes of the list of hosts; hosts of older
+    builds take the whole list only.
     """
 
     me: members.HostRow
@@ -58,6 +60,7 @@
     findings: crashing_parts.Findings = crashing_parts.Findings()
     limits: int = -1
     leaving: list[str] = dataclasses.field(default_factory=list)
+    takes_changes: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,8 +71,9 @@
     ``document`` is the encoded configuration in base64, if it is newer.
     ``owner`` identifies the process of the answering host. ``directory`` and
     ``hosts`` are the revisions of the lists in ``endpoints`` and ``rows``.
-    ``rows`` is None if the list of hosts has not changed; the answering host
-    then heard from each host on it within the last ``oldest`` seconds.
+    ``rows`` is None if the list of hosts has not changed, or if ``changes``
+    holds what has changed in it; the answering host then heard from each host
+    on its list within the last ``oldest`` seconds.
     ``store_seconds`` is the store's time at the reply, and ``clock_ahead`` is
     how far true time is ahead of it. ``limit_reports`` holds the rate limits
     of endpoints, None if they have not changed since the revision in the
@@ -97,6 +101,7 @@
     names_software: bool = False
     leaving: list[str] = dataclasses.field(default_factory=list)
     speed: engine_speed.SpeedReport | None = None
+    changes: members.HostChanges | None = None
 
 
 @dataclasses.dataclass(frozen=True)
