Call the store less from many hosts; keep syncs within a failure domain

Causes, from the code: every starting host read all rows of hosts and wrote its own, twice if its start time became known late, although only hubs read them; while the store was down for the hubs, every host followed it by itself after a second and polled the lease; all hosts sent their usage parts to the hub that places model work; hosts chose hubs of any failure domain.

Now a host that a connected hub answers needs no row; with more than 64 hosts, hosts whose hubs answer without the store wait up to 10 s more, each another time, before they follow it themselves, the second hub writes usage parts, and hosts prefer a hub of their own domain. Counted by tests at 7, 73, 195 and 355 hosts.

--- a/src/cairnloom/entry/hubs.py
+++ b/src/cairnloom/entry/hubs.py
@@ -32,13 +32,12 @@
 # The interval between two synchronization rounds. Hubs ask the other hubs in
 # turn, all of them within ROUNDS_PER_TURN, and at least MIN_HUBS_PER_ROUND in
 # each round. Other hosts ask a hub only in every second round, or third round
-# if there are more than MANY_HOSTS hosts.
+# if there are many hosts.
 SYNC_INTERVAL_SECONDS = 0.2
 ROUNDS_PER_TURN = 3
 MIN_HUBS_PER_ROUND = 2
 ROUNDS_PER_SYNC = 2
 ROUNDS_PER_SYNC_OF_MANY = 3
-MANY_HOSTS = 64
 # A hub answers within milliseconds. After this time the next hub is asked.
 TIMEOUT_SECONDS = 0.3
 # How many hubs a host tries in one round if some do not answer.
@@ -49,6 +48,10 @@
 # the store itself, and does so for at least MIN_FOLLOW_SECONDS.
 FOLLOW_AFTER_SECONDS = 1.0
 MIN_FOLLOW_SECONDS = 3.0
+# With many hosts, one that hubs answer although the store
+# doesn't answer them waits up to this much longer, each host for another time.
+# The store may turn the hubs away alone, which a few hosts find out for all.
+FOLLOW_SPREAD_SECONDS = 10.0
 # The store's time is taken only from answers whose round trip was shorter than
 # this, because a long round trip makes it inexact.
 MAX_CLOCK_ROUND_TRIP_SECONDS = 0.05
@@ -71,6 +74,8 @@
         self._decode_document = decode_document
         self._clock = host.clock
         self._follow_until = float('-inf')
+        self._answered_at = float('-inf')
+        self._spread = self._members.own_share()
         self._revisions: dict[str, tuple[int, int, int]] = {}
         self._unknown_hosts: dict[str, members.HostRow] = {}
         self._round_count = 0
@@ -79,10 +84,21 @@
         """Return whether this host must follow the store itself."""
         if self._members.is_hub():
             return True
-        if now - self._host.cluster_state.hub_synced_at > FOLLOW_AFTER_SECONDS:
+        patience = FOLLOW_AFTER_SECONDS
+        if (
+            self._members.has_many_hosts()
+            and now - self._answered_at < FOLLOW_AFTER_SECONDS
+        ):
+            patience += FOLLOW_SPREAD_SECONDS * self._spread
+        if now - self._host.cluster_state.hub_synced_at > patience:
             self._follow_until = now + MIN_FOLLOW_SECONDS
         return now < self._follow_until
 
+    def is_known_to_hub(self, now: float) -> bool:
+        """Return whether a hub that is connected to the store answers."""
+        synced_at = self._host.cluster_state.hub_synced_at
+        return now - synced_at <= FOLLOW_AFTER_SECONDS
+
     def reset_revisions(self) -> None:
         """Have the next round ask the hubs for their complete lists."""
         self._revisions.clear()
@@ -101,7 +117,7 @@
             await self._ask_hubs(now)
             return
         self._round_count += 1
-        if self._round_count % rounds_per_sync(self._members.count()):
+        if self._round_count % rounds_per_sync(self._members):
             return
         for _ in range(MAX_ATTEMPTS):
             hub = self._choose_hub(now)
@@ -211,13 +227,16 @@
 
         Each host ranks the hubs by a hash of its own name and the hub's name,
         which spreads the hosts evenly over the hubs. If there are many hosts,
-        the first hub is busy placing their requests, and the others answer.
+        the first hub is busy placing their requests, and the others answer;
+        a hub in the host's own failure domain is preferred, as traffic between
+        domains costs money.
         """
         candidates = self._members.candidates(now) or self._seeds
         if not candidates:
             return None
         host_count = self._members.count()
-        first = 1 if host_count > MANY_HOSTS else 0
+        has_many_hosts = self._members.has_many_hosts()
+        first = 1 if has_many_hosts else 0
         preferred_hubs = [
             row
             for row in candidates[first : members.hub_count(host_count)]
@@ -225,11 +244,16 @@
         ]
         if not preferred_hubs:
             return candidates[0]
-        own_host = self._members.own_row.host
-        return max(
-            preferred_hubs,
-            key=lambda row: members.hash_pair(own_host, row.host),
-        )
+        own_row = self._members.own_row
+
+        def rank(row: members.HostRow) -> tuple[bool, bytes]:
+            is_near = row.failure_domain == own_row.failure_domain
+            return (
+                is_near and has_many_hosts,
+                members.hash_pair(own_row.host, row.host),
+            )
+
+        return max(preferred_hubs, key=rank)
 
     async def _ask(
         self,
@@ -255,6 +279,7 @@
             self._members.avoid(hub.host, host.now())
             return False
         self._members.note_answer(hub.host)
+        self._answered_at = host.now()
         host.announcements.note_reported(reply.owner, request.leaving)
         if not reply.names_software:
             # A hub of an older build can't replace the store.
@@ -346,9 +371,9 @@
             self._members.refresh(now, reply.oldest)
 
 
-def rounds_per_sync(host_count: int) -> int:
+def rounds_per_sync(membership: members.Members) -> int:
     """Return in how many rounds a host that is no hub asks one of them."""
-    if host_count > MANY_HOSTS:
+    if membership.has_many_hosts():
         return ROUNDS_PER_SYNC_OF_MANY
     return ROUNDS_PER_SYNC
 
--- a/src/cairnloom/entry/members.py
+++ b/src/cairnloom/entry/members.py
@@ -16,6 +16,9 @@
 # There is one hub for each HOSTS_PER_HUB hosts, but at least MIN_HUBS.
 MIN_HUBS = 3
 HOSTS_PER_HUB = 32
+# With more hosts than this, the hubs share the work that one of them can do
+# for few hosts, and hosts call them less often.
+MANY_HOSTS = 64
 # A host that has not been heard from for this long is considered gone.
 HOST_TIMEOUT_SECONDS = 4.0
 # For this long, a hub that failed or that is not connected to the store is
@@ -241,6 +244,10 @@
         """Return how many hosts run and are not leaving."""
         return max(1, len(self._rank_hosts()))
 
+    def has_many_hosts(self) -> bool:
+        """Return whether more than MANY_HOSTS hosts run."""
+        return self.count() > MANY_HOSTS
+
     def highest_count(self, now: float) -> int:
         """Return the largest number of hosts in the recent past.
 
@@ -285,6 +292,13 @@
         """Return whether a host failed recently and should be asked last."""
         return now < self._avoided_until.get(row.host, float('-inf'))
 
+    def own_share(self) -> float:
+        """Return a fixed number below 1 that differs from host to host."""
+        digest = hashlib.blake2b(
+            self.own_row.host.encode(), digest_size=8
+        ).digest()
+        return int.from_bytes(digest, 'big') / 2**64
+
     def clock_ahead(self) -> float | None:
         """Return how far true time is ahead of the store's clock.
 
--- a/src/cairnloom/entry/registration.py
+++ b/src/cairnloom/entry/registration.py
@@ -1,9 +1,9 @@
 """Discovery of hosts: each host has a row in the store.
 
-A starting host writes its row and reads all rows. From then on the hubs inform
-it which hosts run. Hubs continue to read the rows at long intervals, so that
-groups of hosts that have no contact find each other. They also remove the rows
-of hosts that are gone.
+A starting host writes its row and reads all rows, unless a hub answers it
+already. From then on the hubs inform it which hosts run. Hubs continue to read
+the rows at long intervals, so that groups of hosts that have no contact find
+each other. They also remove the rows of hosts that are gone.
 """
 
 from typing import Any
@@ -47,8 +47,14 @@
         self._unknown_since: dict[str, float] = {}
         self.unknown_hosts: list[members.HostRow] = []
 
-    def begin(self, now: float) -> list[Any]:
-        """Return the first actions of a round: a scan if one is needed."""
+    def begin(self, now: float, is_known_to_hub: bool = False) -> list[Any]:
+        """Return the first actions of a round: a scan if one is needed.
+
+        A host that a hub knows needs no row, as the rows are read by hubs
+        only, so that many hosts that start together don't all call the store.
+        """
+        if is_known_to_hub and not self._members.is_hub():
+            return []
         new_row = members.strip_clock(self._members.own_row)
         is_read_due = now >= self._next_read_at and self._members.is_hub()
         if self._written_row == new_row and not is_read_due:
--- a/src/cairnloom/entry/relay.py
+++ b/src/cairnloom/entry/relay.py
@@ -218,9 +218,17 @@
         self._members.avoid(hub.host, self._read_clock())
 
     def _choose_hosts(self) -> list[members.HostRow]:
+        """Return the hosts to ask in turn.
+
+        All hosts ask the same one first, so that it can join many parts into
+        one store call. If there are many hosts, it is not the one that places
+        their model work.
+        """
         now = self._read_clock()
+        candidates = self._members.candidates(now)
+        first_hub = next(iter(self._members.hubs()), None)
+        if self._members.has_many_hosts() and candidates[0] == first_hub:
+            candidates = [*candidates[1:MAX_ATTEMPTS], candidates[0]]
         return [
-            row
-            for row in self._members.candidates(now)
-            if not self._members.is_avoided(row, now)
+            row for row in candidates if not self._members.is_avoided(row, now)
         ][:MAX_ATTEMPTS]
--- a/tests/test_host_lists.py
+++ b/tests/test_host_lists.py
@@ -1,6 +1,7 @@
 """Lists of hosts in sync replies, and how they grow with the hosts."""
 
 import dataclasses
+import types
 
 import hypothesis
 from hypothesis import strategies
@@ -10,6 +11,8 @@
 from cairnloom.entry import hubs
 from cairnloom.entry import members
 from cairnloom.entry import messages
+from cairnloom.entry import registration
+from cairnloom.entry import relay
 from cairnloom.protocol import codec
 from cairnloom.routing import exchange
 
@@ -194,3 +197,73 @@
         counts[hub_sync._choose_hub(0.0).host] += 1
     assert counts[hub_names[0]] == 0
     assert max(counts.values()) < 2 * members.HOSTS_PER_HUB
+
+
+def make_hub_sync(number, size):
+    membership = members.Members(make_row(number))
+    for other in range(size):
+        membership.note_seen(make_row(other), 0.0)
+    host = types.SimpleNamespace(
+        members=membership,
+        clock=None,
+        cluster_state=types.SimpleNamespace(hub_synced_at=0.0),
+    )
+    return hubs.HubSync(host, None, None, [])
+
+
+@pytest.mark.parametrize('size', [195, 355])
+def test_hosts_prefer_a_hub_of_their_own_domain(size):
+    hub_rows = make_hub(size).hubs()[1:]
+    domains = {row.failure_domain for row in hub_rows}
+    for number in range(50, size, 7):
+        hub_sync = make_hub_sync(number, size)
+        own_domain = hub_sync._members.own_row.failure_domain
+        if own_domain in domains:
+            assert hub_sync._choose_hub(0.0).failure_domain == own_domain
+
+
+@pytest.mark.parametrize('size', SIZES)
+def test_few_hosts_follow_a_store_that_is_down_for_the_hubs(size):
+    """Hubs answer, but the store has not answered them for four seconds."""
+    following = 0
+    for number in range(size):
+        hub_sync = make_hub_sync(number, size)
+        if not hub_sync._members.is_hub():
+            hub_sync._answered_at = 4.0
+            following += hub_sync.must_follow(4.0)
+    if size > members.MANY_HOSTS:
+        assert 1 <= following < size / 2
+
+
+@pytest.mark.parametrize('size', SIZES)
+def test_host_whose_hubs_are_silent_follows_the_store_at_once(size):
+    hub_sync = make_hub_sync(size - 1, size)
+    assert hub_sync.must_follow(1.1)
+
+
+def test_host_that_a_hub_answers_needs_no_row():
+    membership = members.Members(make_row(9))
+    for other in range(9):
+        membership.note_seen(make_row(other), 0.0)
+    host_registration = registration.Registration(membership, lambda: None)
+    assert host_registration.begin(0.0, is_known_to_hub=True) == []
+    assert host_registration.begin(0.0, is_known_to_hub=False)
+    alone = registration.Registration(
+        members.Members(make_row(9)), lambda: None
+    )
+    assert alone.begin(0.0, is_known_to_hub=True)
+
+
+@pytest.mark.parametrize('size', SIZES)
+def test_usage_of_many_hosts_is_not_written_by_the_scheduling_hub(size):
+    hub_rows = make_hub(size).hubs()
+    asked_first = set()
+    for number in range(size):
+        membership = make_hub_sync(number, size)._members
+        if not membership.is_hub():
+            table = relay.RelayedTable(
+                None, membership, None, lambda: 0.0, lambda: True
+            )
+            asked_first.add(table._choose_hosts()[0].host)
+    expected = hub_rows[1 if size > members.MANY_HOSTS else 0]
+    assert asked_first == {expected.host}
