Keep half of the callers' time in reserve; call it overload only if it lasts

Casablanca counts the share that is served at all, and a late answer is better for its caller than none.

Now a request is accepted if it is expected to use at most half of its caller's time, since each error of a longer estimate is a failure. Only after refusals for twice that time, without one answer in time, is the limit the target. A burst of a few seconds is served as much as before.

--- a/src/cairnloom/admission/overload.py
+++ b/src/cairnloom/admission/overload.py
@@ -1,21 +1,25 @@
 """Detection of overload, and how long requests may wait meanwhile.
 
 Asked by the scheduler once it has chosen the engines for a prompt. It answers
-a load that stays above what the engines can do: if every prompt that can still
-meet its deadline is accepted, the queues grow until all of them wait as long
-as that, and all answers are late although no more are given. Under such a
-load only requests that can meet their target are accepted, so that as many are
-answered, but in time, and the others are refused at once. A short peak is
-different; its requests are accepted and answered late, as the queues are
-empty again soon.
+a load above what the engines can do. If every prompt is accepted that can just
+meet its deadline, the queues grow until all of them wait as long as that: each
+error of the estimate is then a failure, whose prompt was read in vain. So a
+part of the caller's time is kept in reserve. While the load stays that high,
+all answers would still be late although no more are given; then only requests
+that can meet their target are accepted, and the others are refused at once. A
+peak that passes is different: its requests are answered late, as the queues
+are empty again soon.
 """
 
 import dataclasses
 from typing import Callable
 
-# A load counts as overload once the wait for other requests has grown to this
-# share of the time for which callers wait.
-ENTER_PATIENCE_SHARE = 0.7
+# A request is accepted if it is expected to wait for no more than this share
+# of the time for which its caller waits.
+ACCEPTED_PATIENCE_SHARE = 0.5
+# A load counts as overload once requests have been refused, and none was in
+# time, for this many times as long as their callers wait.
+ENTER_PATIENCES = 2.0
 # Overload is over once no request had to be refused for this many times the
 # target.
 LEAVE_TARGETS = 4.0
@@ -51,13 +55,13 @@
 class _State:
     """The state of one kind of work.
 
-    ``longest_wait`` is the longest wait for other requests since the last
-    request that was not late.
+    ``refusing_since`` is the time of the first refusal since a request was in
+    time, None if there was none. ``refused_at`` is that of the last one.
     """
 
-    longest_wait: float = 0.0
-    overloaded: bool = False
+    refusing_since: float | None = None
     refused_at: float = 0.0
+    overloaded: bool = False
 
 
 class OverloadDetector:
@@ -81,7 +85,7 @@
         """
         state = self._states.setdefault((service, urgency), _State())
         if wait.first_event <= wait.limit:
-            state.longest_wait = 0.0
+            state.refusing_since = None
             if (
                 state.overloaded
                 and now - state.refused_at > LEAVE_TARGETS * wait.target
@@ -89,17 +93,17 @@
                 state.overloaded = False
                 self.on_change(service, urgency, False)
             return 0.0
-        queue_seconds = wait.first_event - wait.idle
-        is_growing = queue_seconds >= state.longest_wait
-        state.longest_wait = max(queue_seconds, state.longest_wait)
-        if (
-            not state.overloaded
-            and is_growing
-            and queue_seconds >= ENTER_PATIENCE_SHARE * wait.patience
-        ):
-            state.overloaded = True
-            self.on_change(service, urgency, True)
-        if not state.overloaded:
+        limit = max(wait.limit, ACCEPTED_PATIENCE_SHARE * wait.patience)
+        if wait.first_event > limit and not state.overloaded:
+            if state.refusing_since is None:
+                state.refusing_since = now
+            refusing_seconds = now - state.refusing_since
+            if refusing_seconds >= ENTER_PATIENCES * wait.patience:
+                state.overloaded = True
+                self.on_change(service, urgency, True)
+        if state.overloaded:
+            limit = wait.limit
+        if wait.first_event <= limit:
             return 0.0
         state.refused_at = now
-        return wait.first_event - wait.limit
+        return wait.first_event - limit
