--- a/src/cairnloom/standins/atlas.py
+++ b/src/cairnloom/standins/atlas.py
@@ -209,9 +209,12 @@
     - ``unsigned``: an answer without the header that proves its origin
     - ``cross``: an answer with the id of another request
     - ``extra``: stray bytes after the answer
+    - ``twice``: the answer is sent again on its connection, once the next
+      request has arrived there
     - ``cut``: the connection is closed in the middle of the body
     - ``tear``: a stream is reset in the middle of its third event
     - ``again``: the second event of a stream is sent twice
+    - ``trickle``: a byte of a stream's second event now and then, without end
     - ``flood-head``: header lines without end, until the caller closes
     - ``flood-body``: a body without end or events, until the caller closes
     - ``unframed``: a body without a length, which ends with the connection
@@ -435,6 +438,7 @@
         self._endpoint = endpoint
         self._endpoints = endpoints
         self._channels: list[Any] = []
+        self._late_copies: dict[Any, bytes] = {}
         self._port: Any = None
         self._closed = False
 
@@ -549,6 +553,9 @@
             headers = {names.NOT_RUN: b'1', names.RETRY_AFTER: retry_after}
             request.reply(503, None, headers)
             return
+        late_copy = self._late_copies.pop(request.channel, None)
+        if late_copy is not None:
+            request.channel.transport.write(late_copy)
         faults = self._endpoint.planned_faults
         fault = faults.popleft() if faults else ''
         if fault.startswith(('flood', 'unframed')):
@@ -629,6 +636,13 @@
                 channel = request.channel
                 request.reply(200, body, headers)
                 channel.transport.write(b'HTTP/1.1 200 OK\r\n\r\nstray')
+            case 'twice':
+                fields = headers | {b'Content-Length': b'%d' % len(body)}
+                lines = [b'%s: %s\r\n' % field for field in fields.items()]
+                self._late_copies[request.channel] = (
+                    b'HTTP/1.1 200 OK\r\n%s\r\n%s' % (b''.join(lines), body)
+                )
+                request.reply(200, body, headers)
             case 'cut':
                 request.setHeader(b'content-length', b'%d' % len(body))
                 for name, value in headers.items():
@@ -692,6 +706,10 @@
             # reset.
             self.reactor.callLater(EVENT_SECONDS, request.reset)
             return
+        if fault == 'trickle' and number == 2:
+            request.write(b'id: 2\ndata: ')
+            self._trickle(request)
+            return
         request.write(event)
         received.events += 1
         if fault == 'again' and number == 2:
@@ -705,6 +723,11 @@
             fault,
         )
 
+    def _trickle(self, request: _Request) -> None:
+        if not request._disconnected:
+            request.write(b'x')
+            self.reactor.callLater(EVENT_SECONDS, self._trickle, request)
+
     def _take_cache(self, source: str) -> bool:
         address, _, handle = source.rpartition('/')
         holder = self._endpoints.get(address)
