Never divide by an expected time of zero; reword what hosts do in the usual terms

The learned line may pass through zero, and a prompt whose parts are all cached has no tokens to prefill: its expected time was then 0, and the event that ends it raised ZeroDivisionError on the scheduling hub, which lost the events of that call and kept the reservation for 10 s. Expected times now count as 1 ms at least where actual ones are divided by them. test_expected_times_are_never_zero failed before.

--- a/src/cairnloom/admission/overload.py
+++ b/src/cairnloom/admission/overload.py
@@ -1,6 +1,6 @@
 """Detection of overload, and how long requests may wait meanwhile.
 
-Asked by the scheduler once it has chosen the engines for a prompt. It answers
+Used by the scheduler once it has chosen the engines for a prompt. It answers
 a load above what the engines can do. If every prompt is accepted that can just
 meet its deadline, the queues grow until all of them wait as long as that: each
 error of the estimate is then a failure, whose prompt was read in vain. So a
@@ -65,7 +65,7 @@
 
 
 class OverloadDetector:
-    """Finds out which kinds of work meet more load than can be served.
+    """Detects which kinds of work have more load than can be served.
 
     Requests of one service and urgency are one kind of work.
     """
--- a/src/cairnloom/entry/hubs.py
+++ b/src/cairnloom/entry/hubs.py
@@ -29,10 +29,10 @@
 from . import state
 from . import stream_origins
 
-# The interval between two synchronization rounds. Hubs ask the other hubs in
-# turn, all of them within ROUNDS_PER_TURN, and at least MIN_HUBS_PER_ROUND in
-# each round. Other hosts ask a hub only in every second round, or third round
-# if there are many hosts.
+# The interval between two synchronization rounds. Hubs sync with the other
+# hubs in turn, with all of them within ROUNDS_PER_TURN, and with at least
+# MIN_HUBS_PER_ROUND in each round. Other hosts sync with a hub only in every
+# second round, or third round if there are many hosts.
 SYNC_INTERVAL_SECONDS = 0.2
 ROUNDS_PER_TURN = 3
 MIN_HUBS_PER_ROUND = 2
@@ -48,9 +48,9 @@
 # the store itself, and does so for at least MIN_FOLLOW_SECONDS.
 FOLLOW_AFTER_SECONDS = 1.0
 MIN_FOLLOW_SECONDS = 3.0
-# With many hosts, one that hubs answer although the store
-# doesn't answer them waits up to this much longer, each host for another time.
-# The store may turn the hubs away alone, which a few hosts find out for all.
+# If there are many hosts and hubs answer that they have lost the store, a host
+# waits up to this much longer, each for another time. The store may reject the
+# hubs alone, which a few hosts detect for all.
 FOLLOW_SPREAD_SECONDS = 10.0
 # The store's time is taken only from answers whose round trip was shorter than
 # this, because a long round trip makes it inexact.
@@ -75,7 +75,7 @@
         self._clock = host.clock
         self._follow_until = float('-inf')
         self._answered_at = float('-inf')
-        self._spread = self._members.own_share()
+        self._spread = self._members.hash_own_name()
         self._revisions: dict[str, tuple[int, int, int]] = {}
         self._unknown_hosts: dict[str, members.HostRow] = {}
         self._round_count = 0
@@ -94,7 +94,7 @@
             self._follow_until = now + MIN_FOLLOW_SECONDS
         return now < self._follow_until
 
-    def is_known_to_hub(self, now: float) -> bool:
+    def is_synced(self, now: float) -> bool:
         """Return whether a hub that is connected to the store answers."""
         synced_at = self._host.cluster_state.hub_synced_at
         return now - synced_at <= FOLLOW_AFTER_SECONDS
@@ -372,7 +372,7 @@
 
 
 def rounds_per_sync(membership: members.Members) -> int:
-    """Return in how many rounds a host that is no hub asks one of them."""
+    """Return in how many rounds a host that is no hub syncs once."""
     if membership.has_many_hosts():
         return ROUNDS_PER_SYNC_OF_MANY
     return ROUNDS_PER_SYNC
--- a/src/cairnloom/entry/members.py
+++ b/src/cairnloom/entry/members.py
@@ -102,7 +102,7 @@
         self._removed_at: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
-        self._oldest_known_revision = 0
+        self._oldest_revision = 0
         self._lost_hosts: dict[str, _LostHost] = {}
         self._returned_at = float('-inf')
         self._records: dict[str, _HostRecord] = {}
@@ -216,9 +216,9 @@
     def list_changes(self, revision: int, now: float) -> HostChanges | None:
         """Return the changes of the list of hosts since a revision.
 
-        Returns None if they are no longer known.
+        Returns None if the removals since then were dropped.
         """
-        if not self._oldest_known_revision <= revision <= self.revision:
+        if not self._oldest_revision <= revision <= self.revision:
             return None
         changed = [
             seen_host
@@ -292,7 +292,7 @@
         """Return whether a host failed recently and should be asked last."""
         return now < self._avoided_until.get(row.host, float('-inf'))
 
-    def own_share(self) -> float:
+    def hash_own_name(self) -> float:
         """Return a fixed number below 1 that differs from host to host."""
         digest = hashlib.blake2b(
             self.own_row.host.encode(), digest_size=8
@@ -331,9 +331,7 @@
         del self._changed_at[host]
         self._removed_at[host] = self.revision
         if len(self._removed_at) > MAX_REMOVED:
-            _, self._oldest_known_revision = self._removed_at.popitem(
-                last=False
-            )
+            _, self._oldest_revision = self._removed_at.popitem(last=False)
 
     def _note_return(
         self, row: HostRow, last_seen_at: float, now: float
--- a/src/cairnloom/entry/messages.py
+++ b/src/cairnloom/entry/messages.py
@@ -72,8 +72,8 @@
     ``owner`` identifies the process of the answering host. ``directory`` and
     ``hosts`` are the revisions of the lists in ``endpoints`` and ``rows``.
     ``rows`` is None if the list of hosts has not changed, or if ``changes``
-    holds what has changed in it; the answering host then heard from each host
-    on its list within the last ``oldest`` seconds.
+    holds what has changed in it; the answering host then had contact with each
+    host on its list within the last ``oldest`` seconds.
     ``store_seconds`` is the store's time at the reply, and ``clock_ahead`` is
     how far true time is ahead of it. ``limit_reports`` holds the rate limits
     of endpoints, None if they have not changed since the revision in the
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -482,7 +482,7 @@
     async def _register(self) -> None:
         host_registration, now = self._registration, self._host.now()
         await self._runner.drive(
-            host_registration.begin(now, self._hub_sync.is_known_to_hub(now)),
+            host_registration.begin(now, self._hub_sync.is_synced(now)),
             lambda event: host_registration.step(event, self._host.now()),
         )
         self._hub_sync.queue_unknown_hosts(host_registration.unknown_hosts)
--- a/src/cairnloom/entry/registration.py
+++ b/src/cairnloom/entry/registration.py
@@ -47,13 +47,13 @@
         self._unknown_since: dict[str, float] = {}
         self.unknown_hosts: list[members.HostRow] = []
 
-    def begin(self, now: float, is_known_to_hub: bool = False) -> list[Any]:
+    def begin(self, now: float, is_synced: bool = False) -> list[Any]:
         """Return the first actions of a round: a scan if one is needed.
 
-        A host that a hub knows needs no row, as the rows are read by hubs
-        only, so that many hosts that start together don't all call the store.
+        A host that syncs with a hub needs no row, since only hubs read the
+        rows. So hosts that start together don't all call the store.
         """
-        if is_known_to_hub and not self._members.is_hub():
+        if is_synced and not self._members.is_hub():
             return []
         new_row = members.strip_clock(self._members.own_row)
         is_read_due = now >= self._next_read_at and self._members.is_hub()
--- a/src/cairnloom/entry/relay.py
+++ b/src/cairnloom/entry/relay.py
@@ -218,9 +218,9 @@
         self._members.avoid(hub.host, self._read_clock())
 
     def _choose_hosts(self) -> list[members.HostRow]:
-        """Return the hosts to ask in turn.
+        """Return the hosts to call in turn.
 
-        All hosts ask the same one first, so that it can join many parts into
+        All hosts call the same one first, so that it can join many parts into
         one store call. If there are many hosts, it is not the one that places
         their model work.
         """
--- a/src/cairnloom/routing/endpoint_stats.py
+++ b/src/cairnloom/routing/endpoint_stats.py
@@ -24,6 +24,9 @@
 SLOWDOWN_SAMPLES = 5
 MIN_SLOWDOWN = 0.5
 MAX_SLOWDOWN = 20.0
+# Expected times count as no less than this many seconds. Actual times are
+# divided by them.
+MIN_EXPECTED_SECONDS = 0.001
 # Without new samples, the slowdown loses half of its effect in this time.
 SLOWDOWN_HALF_LIFE_SECONDS = 2.0
 # The oldest request in progress counts as stuck once it has taken longer than
@@ -72,7 +75,10 @@
 
     def begin(self, request: str, expected_seconds: float, now: float) -> None:
         """Start timing a request that should take ``expected_seconds``."""
-        self._in_progress[request] = (now, expected_seconds)
+        self._in_progress[request] = (
+            now,
+            max(expected_seconds, MIN_EXPECTED_SECONDS),
+        )
 
     def end(self, request: str, now: float, seconds: float = 0.0) -> None:
         """Take a sample from a request that has completed.
--- a/tests/test_engine_speed.py
+++ b/tests/test_engine_speed.py
@@ -116,3 +116,26 @@
     warm_up(cluster, FAST_ENGINES)
     before = engine_speed.INITIAL_HANDOVER_SECONDS
     assert cluster.scheduler._selector.speed.handover < before / 2
+
+
+def test_expected_times_are_never_zero():
+    """Measured times are divided by them."""
+    cluster = test_scheduler.Cluster(('p1', 'prefill'), ('w1', 'decode'))
+    speed = cluster.scheduler._selector.speed
+    for _ in range(300):
+        # A line through these points is below zero for short prompts.
+        speed.note_prefill(4000, 0.01)
+        speed.note_prefill(8000, 0.04)
+        speed.note_handover(0.0)
+    parts = (work.PromptPart('shared', 8000), work.PromptPart('empty', 0))
+    for name in ('first', 'second'):
+        model_work = work.ModelWork('m', 8000, 2, parts)
+        decision = cluster.scheduler.place(
+            'host-1',
+            scheduler.PlacementRequest(name, 's', model_work, TARGETS, 1, 2.0),
+            1000.0,
+        )
+        assert isinstance(decision, scheduler.Placement)
+        cluster.report('read', name, 1000.1)
+        cluster.report('begun', name, 1000.2)
+        cluster.report('ended', name, 1000.3)
--- a/tests/test_host_lists.py
+++ b/tests/test_host_lists.py
@@ -161,7 +161,7 @@
 
 
 @pytest.mark.parametrize('size', SIZES)
-def test_hubs_ask_all_others_before_their_loads_expire(size):
+def test_hubs_sync_with_all_others_before_their_loads_expire(size):
     hub_rows = make_hub(size).hubs()
     own_row, *others = hub_rows[2:] + hub_rows[:2]
     membership = members.Members(own_row)
@@ -169,12 +169,12 @@
         membership.note_seen(make_row(number), 0.0)
     hub_sync = hubs.HubSync.__new__(hubs.HubSync)
     hub_sync._members, hub_sync._round_count = membership, 0
-    asked = []
+    called = []
     for _ in range(hubs.ROUNDS_PER_TURN):
         targets = hub_sync._choose_hubs_of_round(0.0)
-        asked.extend(row.host for row in targets)
-    assert set(asked) == {row.host for row in others}
-    assert len(asked) <= max(
+        called.extend(row.host for row in targets)
+    assert set(called) == {row.host for row in others}
+    assert len(called) <= max(
         hubs.MIN_HUBS_PER_ROUND * hubs.ROUNDS_PER_TURN,
         len(others) + hubs.ROUNDS_PER_TURN,
     )
@@ -241,29 +241,29 @@
     assert hub_sync.must_follow(1.1)
 
 
-def test_host_that_a_hub_answers_needs_no_row():
+def test_host_that_syncs_with_a_hub_needs_no_row():
     membership = members.Members(make_row(9))
     for other in range(9):
         membership.note_seen(make_row(other), 0.0)
     host_registration = registration.Registration(membership, lambda: None)
-    assert host_registration.begin(0.0, is_known_to_hub=True) == []
-    assert host_registration.begin(0.0, is_known_to_hub=False)
+    assert host_registration.begin(0.0, is_synced=True) == []
+    assert host_registration.begin(0.0, is_synced=False)
     alone = registration.Registration(
         members.Members(make_row(9)), lambda: None
     )
-    assert alone.begin(0.0, is_known_to_hub=True)
+    assert alone.begin(0.0, is_synced=True)
 
 
 @pytest.mark.parametrize('size', SIZES)
 def test_usage_of_many_hosts_is_not_written_by_the_scheduling_hub(size):
     hub_rows = make_hub(size).hubs()
-    asked_first = set()
+    called_first = set()
     for number in range(size):
         membership = make_hub_sync(number, size)._members
         if not membership.is_hub():
             table = relay.RelayedTable(
                 None, membership, None, lambda: 0.0, lambda: True
             )
-            asked_first.add(table._choose_hosts()[0].host)
+            called_first.add(table._choose_hosts()[0].host)
     expected = hub_rows[1 if size > members.MANY_HOSTS else 0]
-    assert asked_first == {expected.host}
+    assert called_first == {expected.host}
