Close connections after refusals; keep errors out of streams

Cause of the first: a kept connection was used again after a refusal, so that a copy of the refusal was read as the answer to the next request, which ran. An answer without an id was taken for that of any request. A request that may run once was then sent to a second endpoint, or called not run. Now connections are closed after 408, 421, 429 and 503, in the client that all programs share, and the one-process program takes an answer without an id only on a connection that carried nothing before.

Cause of the second: a resumed stream took anything with status 200 and a signature: events without an id, other content types, an end without events. The gateway skipped error events and took an end marker for the end of an answer without a finish reason.

--- a/src/cairnloom/entry/attempts.py
+++ b/src/cairnloom/entry/attempts.py
@@ -20,6 +20,7 @@
 
 # The lowest status by which an endpoint reports its own failure.
 _SERVER_ERROR = 500
+EVENT_STREAM = 'text/event-stream'
 
 
 async def send(
@@ -153,7 +154,9 @@
     )
     response = await host.paths.open(call)
     head = host.header_codec.read_head(response.status, response.headers)
-    if head.request_id and head.request_id != request.metadata.request_id:
+    if head.request_id != request.metadata.request_id and (
+        head.request_id or response.on_used_connection
+    ):
         response.drop()
         raise exceptions.EndpointError('answer to another request', True)
     _note_rate_limit(host, instance, head)
@@ -209,6 +212,14 @@
     return outcomes.Answered()
 
 
+def _is_event_stream(response: upstream.EndpointResponse) -> bool:
+    """Return whether an answer can be a stream, by its content type."""
+    for content_type in response.headers.getRawHeaders('content-type', []):
+        if not content_type.lower().startswith(EVENT_STREAM):
+            return False
+    return True
+
+
 def _classify_fault(fault: exceptions.EndpointError) -> outcomes.Outcome:
     if not fault.may_have_run:
         return outcomes.NotRun(
@@ -250,6 +261,9 @@
             return _classify_fault(fault)
         if head.not_run or head.status != 200 or not head.signed:
             return await self._read_failure(response, head)
+        if not _is_event_stream(response):
+            response.drop()
+            return outcomes.Failed('no event stream')
         self._response, self._head = response, head
         self._on_accepted()
         if request.last_event is not None:
@@ -271,8 +285,8 @@
             return outcomes.Failed(self._reject_reason)
         if not complete or self._events.incomplete:
             return outcomes.Failed('stream broken off', True)
-        if not caller.head_sent:
-            self._send_head(head)
+        if not self.event_count:
+            return outcomes.Failed('stream without events')
         caller.finish()
         request.note_answering()
         return outcomes.Answered()
@@ -306,11 +320,12 @@
         Returns '', or the reason why the event must be rejected.
         """
         request = self._request
-        if event.number is not None:
-            last_number = request.last_event
-            if last_number is not None and event.number <= last_number:
-                return 'event %d again' % event.number
-            request.last_event = event.number
+        if event.number is None:
+            return 'event without number'
+        last_number = request.last_event
+        if last_number is not None and event.number <= last_number:
+            return 'event %d again' % event.number
+        request.last_event = event.number
         self.event_count += 1
         if self.event_count == 2:
             request.note_answering()
--- a/src/cairnloom/entry/upstream.py
+++ b/src/cairnloom/entry/upstream.py
@@ -49,6 +49,7 @@
         super().__init__(on_idle)
         self._on_connected = on_connected
         self.unusable = False
+        self.was_used = False
         self.closed_cleanly = False
         self.lost = False
         self.idle_since = 0.0
@@ -144,10 +145,16 @@
 
 
 class EndpointResponse:
-    """The response to one request, once its head has arrived."""
+    """The response to one request, once its head has arrived.
+
+    ``on_used_connection`` is set if an earlier request went over the same
+    connection, so that the response may be a late copy of an earlier one.
+    """
 
     def __init__(self, connection: _Connection, response: Any) -> None:
         self._connection = connection
+        self.on_used_connection = connection.was_used
+        connection.was_used = True
         self._response = response
         self._ended = False
         self.too_large = False
--- a/src/cairnloom/gateway/calls.py
+++ b/src/cairnloom/gateway/calls.py
@@ -229,6 +229,12 @@
             raise exceptions.EndpointError(
                 str(fault), fault.may_have_been_sent
             ) from fault
+        returned_ids = reply.headers.getRawHeaders(engines.REQUEST_ID_HEADER)
+        if returned_ids and returned_ids[0] != http_request.request_id:
+            reply.drop()
+            raise exceptions.EndpointError(
+                'the reply belongs to another request', may_have_run=True
+            )
         self._state.note_answer(
             endpoint_choice.run_key, reply.status, reply.headers
         )
--- a/src/cairnloom/gateway/dispatch.py
+++ b/src/cairnloom/gateway/dispatch.py
@@ -70,6 +70,7 @@
         self._reactor = reactor
         self._partial_line = b''
         self._end_marker_seen = False
+        self._finish_reason_seen = False
         self._idle_timer = reactor.callLater(
             IDLE_TIMEOUT_SECONDS, self._time_out
         )
@@ -93,7 +94,10 @@
     def finish(self, complete: bool) -> None:
         """Handle the end of the body."""
         if self._end_marker_seen and complete:
-            self._succeed()
+            if self._finish_reason_seen:
+                self._succeed()
+            else:
+                self.fail('end marker without a finish reason')
             return
         self.fail(
             'the stream ended before its end marker', connection_lost=True
@@ -111,13 +115,23 @@
             )
 
     def _process_line(self, line: bytes) -> None:
-        if self._end_marker_seen or not line.startswith(DATA_FIELD):
+        if self.done.called or self._end_marker_seen:
+            return
+        if not line.startswith(DATA_FIELD):
             return
         content = line[len(DATA_FIELD) :].strip()
         if content == END_MARKER:
             self._end_marker_seen = True
             return
-        self._on_event(orjson.loads(content))
+        event = orjson.loads(content)
+        if event.get('error'):
+            self.fail('error event')
+            return
+        if any(
+            choice.get('finish_reason') for choice in event.get('choices', ())
+        ):
+            self._finish_reason_seen = True
+        self._on_event(event)
 
     def _succeed(self) -> None:
         if self._idle_timer.active():
@@ -221,7 +235,7 @@
             engines.REQUEST_ID_HEADER
         )
         if returned_ids and returned_ids[0] != attempt.request_id:
-            self._reply.cancel()
+            self._reply.drop()
             raise exceptions.EndpointError(
                 'the reply belongs to another request', may_have_run=True
             )
--- a/src/cairnloom/protocol/client.py
+++ b/src/cairnloom/protocol/client.py
@@ -29,6 +29,8 @@
 CONNECTIONS_PER_ADDRESS = 64
 MAX_HEAD_BYTES = 64 * 1024
 MAX_REPLY_BYTES = 16 * 1024 * 1024
+# Statuses that say that a request has not run.
+REFUSAL_STATUSES = frozenset([408, 421, 429, 503])
 
 _NOTHING_SENT_ERRORS = (
     error.ConnectError,
@@ -104,6 +106,16 @@
             )
 
 
+class _UnreadBody:
+    """Discards what arrives until the connection is closed."""
+
+    def take(self, data: bytes) -> None:
+        """Discard the bytes."""
+
+    def finish(self, complete: bool) -> None:
+        """Ignore the end of the body."""
+
+
 @implementer(iweb.IBodyProducer)
 class BytesProducer:
     """Sends a request body that is held in memory."""
@@ -156,6 +168,11 @@
             transport: Any = self._receiver.transport
             transport.loseConnection()
 
+    def drop(self) -> None:
+        """Close the connection without reading the body."""
+        self.read_into(_UnreadBody())
+        self.cancel()
+
     async def collect(self) -> bytes:
         """Read and return the whole body, up to ``MAX_REPLY_BYTES``."""
         collector = _BodyCollector()
@@ -167,7 +184,9 @@
     """A connection with TCP keepalive that bounds the size of heads.
 
     If the head of a response has more than MAX_HEAD_BYTES, the connection is
-    aborted and ``head_too_large`` is set.
+    aborted and ``head_too_large`` is set. The connection is closed after a
+    refusal: a faulty server may write it once more, and the copy would pass
+    for the response to the next request.
     """
 
     transport: Any
@@ -191,6 +210,16 @@
             self.head_too_large = True
             self.transport.abortConnection()
 
+    def _finishResponse_WAITING(self, rest: bytes) -> None:
+        parser: Any = self._parser
+        request: Any = self._currentRequest
+        # There is no parser any more if the connection was aborted.
+        if parser and parser.response.code in REFUSAL_STATUSES:
+            request.persistent = False
+        super()._finishResponse_WAITING(rest)
+
+    _finishResponse_TRANSMITTING = _finishResponse_WAITING
+
 
 class _ConnectionFactory(client._HTTP11ClientFactory):
     """Factory of bounded connections."""
--- a/src/cairnloom/standins/atlas.py
+++ b/src/cairnloom/standins/atlas.py
@@ -203,10 +203,15 @@
     for each; once it is empty, requests are answered normally:
 
     - ``shed``: status 503, marked as not executed
+    - ``refuse-429``: this or another status, marked as not executed.
+      ``refuse-429-copied`` sends the refusal again on its connection, once the
+      next request has arrived there, ``refuse-429-unmarked`` does so without
+      its id, and ``refuse-429-glued`` at once
     - ``fail``: status 500
     - ``lose``: the connection is reset before the answer
     - ``hang``: no answer
     - ``unsigned``: an answer without the header that proves its origin
+    - ``nameless``: an answer without an id
     - ``cross``: an answer with the id of another request
     - ``extra``: stray bytes after the answer
     - ``twice``: the answer is sent again on its connection, once the next
@@ -220,6 +225,13 @@
     - ``unframed``: a body without a length, which ends with the connection
     - ``unframed-cut``: the same, reset before its end; streams are closed
       inside an event instead
+    - ``cut-head-20``: the connection is closed after the first 20 bytes of
+      the answer's head. ``reset-head-20`` resets it instead.
+
+    Streams may also get ``failed-stream`` (status 500 with a text),
+    ``unsigned-stream``, ``text-stream`` (another content type),
+    ``error-event`` (an event without an id), ``empty-stream``, which ends
+    without an event, and ``headless-stream``, closed after its head.
 
     ``handles`` names the KV caches held for a decode, and ``cached`` gives
     the tokens of each cached prompt part. A request with one of the prompt
@@ -545,6 +557,10 @@
         request.notifyFinish().addErrback(
             lambda _: setattr(received, 'gone', True)
         )
+        # Endpoints return the id in every answer.
+        request.setHeader(
+            names.REQUEST_ID, received.header(names.REQUEST_ID).encode()
+        )
         if received.header(names.EXPECTED_INSTANCE) != self._endpoint.name:
             request.reply(421, None, {names.INSTANCE: b'other'})
             return
@@ -560,6 +576,10 @@
         fault = faults.popleft() if faults else ''
         if fault.startswith(('flood', 'unframed')):
             self._answer_raw(request, received, fault)
+        elif fault.startswith('refuse-'):
+            self._refuse(request, received, fault)
+        elif fault.startswith(('cut-head-', 'reset-head-')):
+            self._cut_head(request, received, fault)
         elif received.header(names.ROLE) == 'prefill':
             self.reactor.callLater(
                 self._endpoint.prefill_seconds, self._prefill, request, fault
@@ -600,6 +620,50 @@
         transport.write(b'\r\n' + body)
         transport.loseConnection()
 
+    def _refuse(
+        self, request: _Request, received: ReceivedRequest, fault: str
+    ) -> None:
+        _, status, *copy = fault.split('-')
+        headers = {
+            names.REQUEST_ID: received.header(names.REQUEST_ID).encode(),
+            names.NOT_RUN: b'1',
+        }
+        channel = request.channel
+        request.reply(int(status), b'refused', headers)
+        if not copy:
+            return
+        if 'unmarked' in copy:
+            del headers[names.REQUEST_ID]
+        lines = [b'%s: %s\r\n' % field for field in headers.items()]
+        refusal = (
+            b'HTTP/1.1 %s Refused\r\nContent-Length: 7\r\n%s\r\nrefused'
+            % (
+                status.encode(),
+                b''.join(lines),
+            )
+        )
+        if 'glued' in copy:
+            channel.transport.write(refusal)
+        else:
+            self._late_copies[channel] = refusal
+
+    def _cut_head(
+        self, request: _Request, received: ReceivedRequest, fault: str
+    ) -> None:
+        ending, _, count = fault.split('-')
+        fields = self._answer_headers(received)
+        fields[b'Content-Type'] = b'text/event-stream'
+        fields[b'Content-Length'] = b'120'
+        lines = [b'%s: %s\r\n' % field for field in fields.items()]
+        head = b'HTTP/1.1 200 OK\r\n%s\r\n' % b''.join(lines)
+        transport = request.channel.transport
+        # The blank line that ends the head is never sent.
+        transport.write(head[: min(int(count), len(head) - 2)])
+        if ending == 'cut':
+            transport.loseConnection()
+        else:
+            self.reactor.callLater(EVENT_SECONDS, request.reset)
+
     def _answer_headers(self, received: ReceivedRequest) -> dict[bytes, bytes]:
         headers = {
             names.REQUEST_ID: received.header(names.REQUEST_ID).encode(),
@@ -629,6 +693,10 @@
             case 'unsigned':
                 del headers[names.SIGNATURE]
                 request.reply(200, body, headers)
+            case 'nameless':
+                del headers[names.REQUEST_ID]
+                request.responseHeaders.removeHeader(names.REQUEST_ID)
+                request.reply(200, body, headers)
             case 'cross':
                 headers[names.REQUEST_ID] = b'another'
                 request.reply(200, body, headers)
@@ -678,9 +746,32 @@
         if self._endpoint.deadly_parts & _list_parts(received):
             self.reactor.callLater(EVENT_SECONDS, self.crash)
             return
-        for name, value in self._answer_headers(received).items():
+        headers = self._answer_headers(received)
+        if fault == 'failed-stream':
+            request.reply(500, b'stand-in failed', headers)
+            return
+        if fault == 'unsigned-stream':
+            del headers[names.SIGNATURE]
+        for name, value in headers.items():
             request.setHeader(name, value)
         request.setHeader(b'content-type', b'text/event-stream')
+        match fault:
+            case 'text-stream':
+                request.setHeader(b'content-type', b'text/plain')
+                request.write(b'id: 9\ndata: stand-in failed\n\n')
+                request.finish()
+                return
+            case 'error-event':
+                request.write(b'event: error\ndata: stand-in failed\n\n')
+                request.finish()
+                return
+            case 'empty-stream':
+                request.finish()
+                return
+            case 'headless-stream':
+                request.write(b'')
+                self.reactor.callLater(EVENT_SECONDS, request.reset)
+                return
         last_event = received.header(names.LAST_EVENT)
         self._send_event(request, received, int(last_event or 0) + 1, fault)
 
