Forget reservations after a suspension; don't place what was given up

Cause: calls to it had queued while it slept; it served them on waking, and their senders, which had placed the requests elsewhere, never reported their end. These reservations, and those from before the freeze, held the other engines until they timed out.

A call now bears the store's time until which its sender waits, and a hub drops it after that. A host that finds it did not run for a second releases all reservations. Ruled out: the learned speed, marks of failed engines, and slowdown samples, none of which lasts for 10 s.

--- a/src/cairnloom/entry/hubs.py
+++ b/src/cairnloom/entry/hubs.py
@@ -378,6 +378,19 @@
     return ROUNDS_PER_SYNC
 
 
+def is_given_up(
+    call: messages.PlacementCall, store_time: float | None
+) -> bool:
+    """Return whether the sender of a call has placed the request elsewhere.
+
+    Such calls wait for a host that was suspended or slow. The end of a request
+    that is placed for them would never be reported.
+    """
+    if call.until is None or store_time is None:
+        return False
+    return store_time > call.until + MAX_CLOCK_ROUND_TRIP_SECONDS
+
+
 def build_handlers(
     hub_sync: HubSync,
     host: state.HostContext,
@@ -395,6 +408,13 @@
 
     async def place(call: server.JsonRequest) -> server.JsonResponse:
         request = codec.decode(messages.PlacementCall, call.body)
+        if is_given_up(request, host.clock.store_seconds(host.now())):
+            logs.log_event(
+                'placement_given_up',
+                host=request.host,
+                request=request.ask.request,
+            )
+            return server.refuse('given up by its sender', 503)
         decision = own_scheduler.place(
             request.host,
             request.ask,
--- a/src/cairnloom/entry/messages.py
+++ b/src/cairnloom/entry/messages.py
@@ -109,10 +109,13 @@
     """Ask the scheduling hub to place model work.
 
     ``host`` is the name of the sender and ``ask`` is the request to place.
+    ``until`` is the store's time at which the sender places it elsewhere; it
+    is None if the sender does not know the store's time.
     """
 
     host: str
     ask: scheduler.PlacementRequest
+    until: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -159,7 +159,12 @@
         self._scheduler.on_parts_cached = load_exchange.note_parts
         self._scheduler.overload.on_change = _log_overload
         own_scheduler_client = scheduler_client.SchedulerClient(
-            reactor, self._members, self._scheduler, self._peers, limits
+            reactor,
+            self._members,
+            self._scheduler,
+            self._peers,
+            limits,
+            lambda: clock.store_seconds(reactor.seconds()),
         )
         self._stream_origins = stream_origins.StreamOrigins(
             reactor,
--- a/src/cairnloom/entry/scheduler_client.py
+++ b/src/cairnloom/entry/scheduler_client.py
@@ -7,6 +7,7 @@
 """
 
 from typing import Any
+from typing import Callable
 
 from .. import exceptions
 from ..routing import crashing_parts
@@ -46,12 +47,14 @@
         own_scheduler: scheduler.Scheduler,
         peer_client: peers.PeerClient,
         limits: rate_limits.RateLimits,
+        read_store_time: Callable[[], float | None],
     ) -> None:
         self._reactor = reactor
         self._members = membership
         self._scheduler = own_scheduler
         self._peers = peer_client
         self._rate_limits = limits
+        self._read_store_time = read_store_time
         self._placed_by: dict[str, members.HostRow] = {}
         self._pending: dict[str, messages.PlacementEvents] = {}
         self._timers: dict[str, Any] = {}
@@ -77,8 +80,11 @@
     ) -> scheduler.Decision:
         if hub is None:
             return self._place_locally(placement_request)
+        store_time = self._read_store_time()
         message = messages.PlacementCall(
-            self._members.own_row.host, placement_request
+            self._members.own_row.host,
+            placement_request,
+            None if store_time is None else store_time + TIMEOUT_SECONDS,
         )
         try:
             reply = await self._peers.call(
--- a/src/cairnloom/routing/scheduler.py
+++ b/src/cairnloom/routing/scheduler.py
@@ -25,6 +25,9 @@
 # A reservation is released after this time if the end of its request is never
 # reported.
 RESERVATION_TIMEOUT_SECONDS = 10.0
+# A host that did not check for expired reservations for this long was
+# suspended. It has missed events, and its reservations say nothing.
+SUSPENDED_SECONDS = 1.0
 # The share of an engine's memory that is assumed to hold cached prompt parts;
 # the rest holds running requests.
 CACHE_SHARE = 0.8
@@ -166,6 +169,7 @@
         self._groups_by_service: dict[str, selection.EngineGroups] = {}
         self._groups_revision = -1
         self._reservations: dict[str, _Reservation] = {}
+        self._expired_at: float | None = None
         self.overload = overload.OverloadDetector()
         self.on_parts_cached: Callable[
             [str, tuple[work.PromptPart, ...]], None
@@ -256,8 +260,13 @@
     def expire(self, now: float) -> None:
         """Release the reservations that have timed out.
 
-        Also takes note of the answers that have gone on for a while.
+        Also takes note of the answers that have gone on for a while. If this
+        host was suspended, all reservations are released.
         """
+        expired_at, self._expired_at = self._expired_at, now
+        if expired_at is not None and now - expired_at > SUSPENDED_SECONDS:
+            for request in list(self._reservations):
+                self._release_reservation(request)
         for request, reservation in list(self._reservations.items()):
             begun_at = reservation.begun_at
             if begun_at is not None and now - begun_at >= ANSWERING_SECONDS:
--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -693,7 +693,7 @@
 def test_host_that_leaves_alone_is_no_scheduling_hub():
     membership = make_members()
     client = scheduler_client.SchedulerClient(
-        None, membership, None, None, None
+        None, membership, None, None, None, lambda: None
     )
     assert client.is_scheduling_hub()
     membership.update_own_row(leaving=True)
@@ -727,3 +727,43 @@
         ) == pytest.approx(started_at)
     finally:
         deployment.close()
+
+
+@pytest.mark.parametrize(
+    'until, store_time, given_up',
+    [
+        (10.0, 10.04, False),
+        (10.0, 10.06, True),
+        (10.0, 18.0, True),
+        (None, 18.0, False),
+        (10.0, None, False),
+    ],
+)
+def test_call_is_given_up_once_its_sender_no_longer_waits(
+    until, store_time, given_up
+):
+    call = messages.PlacementCall('host-1', None, until)
+    assert hubs.is_given_up(call, store_time) is given_up
+
+
+def test_hub_places_no_request_that_was_placed_elsewhere(start_hosts):
+    """Calls to a hub that is suspended wait until it runs again.
+
+    Their senders have placed the requests elsewhere, so nobody would report
+    their end to this hub.
+    """
+    deployment = start_hosts(3, atlas.Endpoint('e1', 'model', role='decode'))
+    hub = deployment.find_scheduling_hub()
+    sender = next(host for host in deployment.programs if host is not hub)
+    client = sender._host.scheduler_client
+    atlas_deployment.wait_for(lambda: client._read_store_time() is not None)
+    atlas_deployment.wait_for(
+        lambda: hub._host.clock.store_seconds(0.0) is not None
+    )
+    client._read_store_time = lambda: 0.001
+    number = deployment.programs.index(sender)
+    assert deployment.ask_model('/resume/x', host=number).status == 200
+    assert not hub._scheduler._reservations
+    assert sender._members.is_avoided(
+        hub._members.own_row, atlas_deployment.reactor.seconds()
+    )
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -125,6 +125,20 @@
     assert cluster.is_idle()
 
 
+def test_suspended_host_releases_what_it_has_reserved(cluster):
+    """A hub that was frozen for 8 s served all from three of eleven engines.
+
+    The events of its requests went to another hub meanwhile, so it took the
+    other engines for busy until their reservations timed out.
+    """
+    cluster.scheduler.expire(0.0)
+    cluster.submit(now=0.1)
+    cluster.scheduler.expire(0.25)
+    assert not cluster.is_idle()
+    cluster.scheduler.expire(8.0)
+    assert cluster.is_idle()
+
+
 def test_requests_of_a_host_that_is_gone_are_released(cluster):
     cluster.submit()
     cluster.scheduler.release_host('host-2')
