--- a/src/cairnloom/planning/domain_counts.py
+++ b/src/cairnloom/planning/domain_counts.py
@@ -104,6 +104,7 @@
             scaling, domain, domain_instances, now
         )
         if cheap_count:
+            # Room for the next cheap endpoints, in place of regular ones.
             wanted_regular_count = max(
                 wanted_regular_count,
                 min(
--- a/src/cairnloom/routing/selection.py
+++ b/src/cairnloom/routing/selection.py
@@ -38,7 +38,7 @@
 # Penalties below are given in prompt tokens: each weighs as much as the time
 # that an engine which only prefills takes for so many tokens.
 #
-# Penalty for each answer that a prefill would hold up for longer than that
+# Penalty for each long answer that a prefill would hold up for longer than that
 # share of the pause, and the maximum number of answers that are counted. The
 # penalty weighs as much as the same additional delay of the new request
 # itself.
@@ -56,6 +56,8 @@
 # Bonus for the decode engine that is the home engine of the prompt's shared
 # parts.
 HOME_BONUS_TOKENS = 2400
+# Bonus for the engine that already decodes long answers, if an answer is long.
+LONG_ANSWER_BONUS_TOKENS = 2400
 # Penalty for fetching cached parts from another engine. The transfer takes
 # time, and the copy uses memory that could hold other parts.
 FETCH_PENALTY_TOKENS = 1600
@@ -487,7 +489,7 @@
         fetch_penalty = FETCH_PENALTY_TOKENS / self.speed.prefill_rate
         away_penalty = AWAY_PENALTY_TOKENS / self.speed.prefill_rate
         held_up_penalty = HELD_UP_PENALTY_TOKENS / self.speed.prefill_rate
-        home_bonus = HOME_BONUS_TOKENS / self.speed.prefill_rate
+        long_answer_bonus = LONG_ANSWER_BONUS_TOKENS / self.speed.prefill_rate
         total_tokens = query.model_work.prompt_tokens
         best_engine = usable_engines.members[0]
         lowest_score = best_nominal_seconds = float('inf')
@@ -511,25 +513,24 @@
             seconds = nominal_seconds * stats.prefill_slowdown.estimate(
                 query.now
             )
+            penalty = 0.0
             if also_decodes:
                 seconds += self._estimate_memory_wait(
                     stats, query.model_work, query.spec
                 )
-            penalty = 0.0
-            if also_decodes:
-                load = max(
+                load_tokens = max(
                     tokens_to_prefill,
                     stats.estimate_recent_tokens(query.pause, query.now)
                     + query.model_work.prompt_tokens
                     - cached_tokens,
                 )
-                if load > harmless_tokens:
+                if load_tokens > harmless_tokens:
                     penalty = held_up_penalty * min(
                         MAX_HELD_UP_COUNTED,
                         stats.long_answers + query.is_long,
                     )
             if query.is_long and stats.long_answers:
-                penalty -= home_bonus
+                penalty -= long_answer_bonus
             if seconds + penalty < lowest_score:
                 best_engine, lowest_score = engine, seconds + penalty
                 best_nominal_seconds, best_penalty = nominal_seconds, penalty
