--- a/src/cairnloom/routing/selection.py
+++ b/src/cairnloom/routing/selection.py
@@ -38,9 +38,9 @@
 # Penalties below are given in prompt tokens: each weighs as much as the time
 # that an engine which only prefills takes for so many tokens.
 #
-# Penalty for each long answer that a prefill would hold up for longer than that
-# share of the pause, and the maximum number of answers that are counted. The
-# penalty weighs as much as the same additional delay of the new request
+# Penalty for each long answer that a prefill would hold up for longer than
+# that share of the pause, and the maximum number of answers that are counted.
+# The penalty weighs as much as the same additional delay of the new request
 # itself.
 HELD_UP_PENALTY_TOKENS = 12000
 MAX_HELD_UP_COUNTED = 3
