--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -154,10 +154,7 @@
 
 
 def test_small_difference_is_corrected_while_engines_are_idle():
-    """Five of twelve engines read prompts when the peak came, three later.
-
-    With six of them, the peak of a load of long prompts is a quarter higher.
-    """
+    """Three of eleven engines only prefilled when a peak of prompts came."""
     orders = role_split.RoleSplitPlanner().plan(
         make_engines(5, 7), 3.0, 0.0, 4
     )
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -411,7 +411,7 @@
     """Prompts of 4,000 tokens that fill four engines, and a few long answers.
 
     With answers spread over all engines, each was held up by prefills until a
-    pause was too long; nearly a third of them was late on a day.
+    pause was too long; up to a quarter of them was late on a day.
     """
     cluster = Cluster(*(('w%d' % number, 'decode') for number in range(4)))
     prefilled = {'w%d' % number: 0 for number in range(4)}
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -311,8 +311,8 @@
 def test_slowdown_of_an_idle_engine_is_soon_forgotten():
     """Once prompts were refused for it, no sample showed its end.
 
-    After a peak a third of the requests was refused for six seconds, while the
-    engines had nothing to do.
+    After a peak more than half of the requests were refused for four seconds,
+    while engines had nothing to do.
     """
     slowdown = endpoint_stats.SlowdownEstimator()
     for number in range(5):
