--- a/review/stage.py
+++ b/review/stage.py
@@ -358,12 +358,16 @@
 
 
 class CloudApi(Server):
-    """The cloud API: records each call with its holder and its fence."""
+    """The cloud API: records each call with its holder and its fence.
+
+    With ``refuses_spot`` there are no replicas to be had at the lower price.
+    """
 
     def __init__(self, record):
         super().__init__()
         self._record = record
         self.calls = []
+        self.refuses_spot = False
 
     async def serve(self, request):
         call = {
@@ -381,7 +385,8 @@
             call['fence'],
             json.dumps(call['body']),
         )
-        await request.reply(200)
+        is_refused = self.refuses_spot and call['body'].get('Spot')
+        await request.reply(409 if is_refused else 200)
 
 
 class Run:
@@ -801,6 +806,18 @@
             version,
         )
 
+    def crash(self, name):
+        """Crash a replica, which does not come back."""
+        replica = self.replicas[name]
+        self.record.write(
+            'replica %s: crashes, %d running', name, replica.running
+        )
+        replica.close()
+
+    def remove_row(self, name):
+        version = self.store.put('servers', name, None)
+        self.record.write('replica %s: no row, version %d', name, version)
+
     def _take_handle(self, source):
         address, _, handle = source.rpartition('/')
         for replica in self.replicas.values():
