--- a/review/1/check.py
+++ b/review/1/check.py
@@ -11,7 +11,7 @@
 import stage as stages  # noqa: E402
 
 # How old the copy is, and for how long the store is away.
-COPY_SECONDS = 6.0
+COPY_SECONDS = 8.0
 AWAY_SECONDS = 1.0
 
 
@@ -110,4 +110,4 @@
 
 
 if __name__ == '__main__':
-    stages.play(FOLDER, run)
+    stages.play(run)
--- a/review/stage.py
+++ b/review/stage.py
@@ -17,6 +17,7 @@
 import shutil
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
@@ -417,6 +418,8 @@
         self.born = int(time.time() * 1000)
         self.work_seconds = 0.02
         self.event_count, self.event_seconds = 10, 0.02
+        # The share of its answers that are lost once it has run the request.
+        self.lost_share = 0.0
         self.running = 0
         self.runs, self.arrivals, self.orders = [], [], []
         self._handles = {}
@@ -552,6 +555,14 @@
                 await self._stream(request, run)
             else:
                 await asyncio.sleep(self.work_seconds)
+                if random.random() < self.lost_share:
+                    self._record.write(
+                        'replica %s: loses the answer to %s',
+                        self.name,
+                        run.attempt,
+                    )
+                    self.reset(request.writer)
+                    return
                 body = ('%s %s' % (self.name, run.attempt)).encode()
                 await request.reply(200, body, self._headers(request))
         finally:
@@ -708,15 +719,13 @@
         self._host_count = hosts
         self._tasks = []
         self._attempts = 0
-        self._client_writers = set()
+        self._client_writers = {}
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         self._command = shlex.split(deploy['roles']['entry']['run'])
         self._processes = []
         self._run_id = '%06x' % random.getrandbits(24)
 
     def popen(self, environment, log):
-        import subprocess
-
         process = _Process(
             subprocess.Popen(
                 self._command,
@@ -806,18 +815,6 @@
             version,
         )
 
-    def crash(self, name):
-        """Crash a replica, which does not come back."""
-        replica = self.replicas[name]
-        self.record.write(
-            'replica %s: crashes, %d running', name, replica.running
-        )
-        replica.close()
-
-    def remove_row(self, name):
-        version = self.store.put('servers', name, None)
-        self.record.write('replica %s: no row, version %d', name, version)
-
     def _take_handle(self, source):
         address, _, handle = source.rpartition('/')
         for replica in self.replicas.values():
@@ -867,16 +864,18 @@
                 raise CannotRun('waited in vain for %s' % what)
             await asyncio.sleep(0.05)
 
-    def choose_host(self):
+    def choose_host(self, other_than=None):
         """Return a host in rotation, any host if there is none."""
-        ready = [host for host in self.hosts if host.is_ready]
-        return random.choice(ready or self.hosts)
+        hosts = [host for host in self.hosts if host is not other_than]
+        ready = [host for host in hosts if host.is_ready]
+        return random.choice(ready or hosts)
 
-    def break_clients(self):
-        """Break the connections of all clients."""
-        self.record.write('clients: all connections break')
-        for writer in list(self._client_writers):
-            writer.transport.abort()
+    def break_clients(self, host):
+        """Break the connections of all clients to a host."""
+        self.record.write('clients: all connections to %s break', host.name)
+        for writer, client_host in list(self._client_writers.items()):
+            if client_host is host:
+                writer.transport.abort()
 
     def new_attempt(self):
         self._attempts += 1
@@ -921,13 +920,13 @@
                 )
                 writer.write(message)
                 answer.sent = True
-                self._client_writers.add(writer)
+                self._client_writers[writer] = answer.host
                 await self._read_answer(reader, answer)
         except (OSError, TimeoutError):
             pass
         finally:
             if writer is not None:
-                self._client_writers.discard(writer)
+                self._client_writers.pop(writer, None)
                 writer.close()
         answer.ended_at = self.record.now()
         self.record.write(
@@ -1088,18 +1087,21 @@
     return os.environ.get('TROUBLE', '1') != '0'
 
 
-def play(folder, run):
+def play(run):
     """Play a case; exit with its result.
 
-    ``run`` is a coroutine function that takes the folder and returns a stage
-    and the list of what broke the rule.
+    ``run`` is a coroutine function that returns what broke the rule.
     """
 
     async def main():
+        # Ended from outside, it still ends the processes that it started.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         try:
             async with asyncio.timeout(115):
                 broken = await run()
-        except (CannotRun, TimeoutError) as fault:
+        except (Exception, asyncio.CancelledError) as fault:
             print('could not run: %r' % fault)
             return NOT_RUN
         for line in broken:
