--- a/review/stage.py
+++ b/review/stage.py
@@ -17,6 +17,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -169,7 +170,11 @@
             self.reset(writer)
 
     def reset(self, writer):
+        """Close a connection with a reset, not with its orderly end."""
         with contextlib.suppress(Exception):
+            writer.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
             writer.transport.abort()
 
     async def _accept(self, reader, writer):
