--- a/review/3/check.py
+++ b/review/3/check.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import random
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -10,10 +11,12 @@
 import stage as stages  # noqa: E402
 
 LEASE_SECONDS = stages.BOUNDS['LeaseMs'] / 1000
-# The pause between two hosts that are stopped, and between two rounds.
+# The pause between two hosts that are stopped.
 GAP_SECONDS = 1.0
-ROUND_SECONDS = 8.0
-ROUNDS = 12
+# The pause between two rounds is random, so that the rounds don't keep step
+# with the orders of the holder.
+PAUSE_SECONDS = (0.5, 3.5)
+PLAYED_SECONDS = 100.0
 
 
 async def run():
@@ -58,14 +61,14 @@
 async def play(stage):
     traffic = asyncio.create_task(send_traffic(stage))
     await asyncio.sleep(10.0)
-    for _ in range(ROUNDS):
+    while stage.record.now() < PLAYED_SECONDS:
         restarts = []
         if stages.is_troubled():
             for host in sort_hosts(stage):
                 restarts.append(asyncio.create_task(host.restart()))
                 await asyncio.sleep(GAP_SECONDS)
-        await asyncio.sleep(ROUND_SECONDS - GAP_SECONDS * len(restarts))
         await asyncio.gather(*restarts)
+        await asyncio.sleep(random.uniform(*PAUSE_SECONDS))
     traffic.cancel()
     return judge(stage)
 
