--- a/review/stage.py
+++ b/review/stage.py
@@ -429,6 +429,13 @@
         self.runs, self.arrivals, self.orders = [], [], []
         self._handles = {}
 
+    def forget(self, software):
+        """Begin a new incarnation, which knows nothing of the one before."""
+        self.software = software
+        self.born = int(time.time() * 1000)
+        self.busy, self.sequence, self.running = False, 0, 0
+        self._handles.clear()
+
     def row(self):
         fields = {
             'Service': self.service,
@@ -820,6 +827,26 @@
             version,
         )
 
+    def end(self, replica):
+        """End a replica at once, without a word."""
+        self.record.write(
+            'replica %s: ends, %d running', replica.name, replica.running
+        )
+        replica.close()
+
+    async def restart(self, replica, software, heartbeat_seconds=1.2):
+        """Start a replica again under its Id and at its address.
+
+        It writes its row with its next heartbeat.
+        """
+        replica.forget(software)
+        await replica.reopen()
+        self.record.write(
+            'replica %s: starts at version %s', replica.name, software
+        )
+        await asyncio.sleep(heartbeat_seconds)
+        self.write_row(replica)
+
     def _take_handle(self, source):
         address, _, handle = source.rpartition('/')
         for replica in self.replicas.values():
