Count versions within an era of the store only

Cause: each process took a version for the state of a row. In a new era of the store versions go back and are given again, so processes ignored the lease row, took a lost window for an open one, and their own lost parts for written. The same held for the directory of endpoints, followers, and rows of hosts.

Ruled out: a lost reply of the lease write (the holder's reads succeed, and are dropped for their version).

Why it works: rows carry the era they were read in. A lease row of an earlier era proves nothing, tokens rise with the era, lost parts and reports are written again, and windows that may have been reported are given up.

--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,8 @@
 	    tests/test_configuration.py tests/test_usage.py \
 	    tests/test_crashing_parts.py tests/test_rate_limits.py \
 	    tests/test_stream_versions.py tests/test_path_choice.py \
-	    tests/test_announcements.py \
+	    tests/test_announcements.py tests/test_leases.py \
+	    tests/test_usage_eras.py \
 	    -k "not faulty" || test $$? -eq 124
 
 bench-policy: setup
--- a/src/cairnloom/coordination/events.py
+++ b/src/cairnloom/coordination/events.py
@@ -47,11 +47,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class CommitDone:
-    """A transaction took effect; ``versions`` maps row keys to versions."""
+    """A transaction took effect; ``versions`` maps row keys to versions.
+
+    ``era`` is the table's era.
+    """
 
     write_id: str
     versions: dict[str, int]
     sent_at: float
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/coordination/leases.py
+++ b/src/cairnloom/coordination/leases.py
@@ -10,6 +10,12 @@
 counts from when it last saw the row change, and takes over after the term
 plus a margin. Clocks are never compared between hosts, but their rates must
 not differ by more than margin / term.
+
+A table that returns from a copy may show a lease as it was before a takeover.
+A row that was written in an earlier era therefore proves nothing: the process
+that still holds the lease takes it over again, and all others wait as if it
+had just been renewed. Tokens of an era are higher than those of all earlier
+ones, even if the copy lacks the latest of them.
 """
 
 import dataclasses
@@ -20,6 +26,9 @@
 from . import events
 from . import rows
 
+# The tokens of an era of the table begin at this number times the era.
+TOKENS_PER_ERA = 1_000_000
+
 
 @dataclasses.dataclass(frozen=True)
 class LeaseSettings:
@@ -59,19 +68,24 @@
 class Authority:
     """Proof that the lease is held.
 
-    ``fence`` is the fencing token. A transaction that includes ``check``
-    fails once another holder has taken over.
+    ``fence`` is the fencing token. A transaction of this ``era`` that includes
+    ``check`` fails once another holder has taken over.
     """
 
     fence: int
     check: rows.Check
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
 class _PendingWrite:
-    """A write of the lease row whose outcome is not known yet."""
+    """A write of the lease row whose outcome is not known yet.
+
+    It takes effect only if the row still has the ``expected`` revision.
+    """
 
     write_id: str
+    expected: tuple[int, int]
     fence: int
     sent_at: float
     release: bool = False
@@ -91,6 +105,11 @@
     return 'fences/%s/%012d' % (scope, fence)
 
 
+def fence_era(fence: int) -> int:
+    """Return the era of the table in which a fencing token was created."""
+    return fence // TOKENS_PER_ERA
+
+
 class LeaseKeeper:
     """Decides when to acquire, renew and release one lease.
 
@@ -104,6 +123,7 @@
         self._row = rows.Row(lease_key(settings.scope))
         self._unchanged_since = float('inf')
         self._valid_until = float('-inf')
+        self._held_fence = 0
         self._pending_writes: dict[str, _PendingWrite] = {}
         self._in_flight = False
         self._next_read = float('-inf')
@@ -119,6 +139,10 @@
                 return self._handle_read(row, now)
             case events.CommitDone():
                 return self._handle_commit(event, now)
+            case events.CommitConflict() if now < self._valid_until:
+                # Only a table that returned from a copy can have taken the
+                # row from its holder.
+                return self._read()
             case _:
                 return self._handle_failure(now)
 
@@ -126,9 +150,10 @@
         """Return the proof of the lease, or None if it may have expired."""
         if now >= self._valid_until or self._stopping:
             return None
-        fence = self._decode_lease().fence
+        fence = self._held_fence
         next_fence_key = fence_key(self._settings.scope, fence + 1)
-        return Authority(fence, rows.Check(next_fence_key, rows.ABSENT))
+        check = rows.Check(next_fence_key, rows.ABSENT)
+        return Authority(fence, check, fence_era(fence))
 
     def release(self, now: float) -> list[Action]:
         """Release the lease, so that the next holder need not wait."""
@@ -136,7 +161,7 @@
         self._stopping = True
         if not is_held or self._in_flight:
             return []
-        return [self._write(self._decode_lease().fence, now, release=True)]
+        return [self._write(self._held_fence, now, release=True)]
 
     def _tick(self, now: float) -> list[Action]:
         if self._in_flight or self._stopping:
@@ -152,7 +177,9 @@
         renewed_at = self._valid_until - self._settings.term
         if now - renewed_at < self._settings.term / 3:
             return []
-        return [self._write(self._decode_lease().fence, now)]
+        is_of_this_era = fence_era(self._held_fence) == self._row.era
+        fence = self._held_fence if is_of_this_era else self._next_fence()
+        return [self._write(fence, now)]
 
     def _read(self) -> list[Action]:
         self._in_flight = True
@@ -160,22 +187,22 @@
 
     def _handle_read(self, row: rows.Row, now: float) -> list[Action]:
         self._in_flight = False
-        if row.version < self._row.version:
+        if row.revision < self._row.revision:
             return []
-        if row.version != self._row.version or self._never_read():
+        if row.revision != self._row.revision or self._never_read():
             self._row = row
             self._unchanged_since = now
         own_write = self._pending_writes.get(row.write_id)
         self._discard_resolved(row)
-        if own_write is not None:
+        if own_write is not None and own_write.expected[0] == row.era:
             self._apply_own_write(own_write)
             return []
         if self._stopping:
             return []
-        if self._is_own_lease(row):
+        if self._is_own_lease():
             return [self._write(self._decode_lease().fence, now)]
         if self._is_free(now):
-            return [self._write(self._decode_lease().fence + 1, now)]
+            return [self._write(self._next_fence(), now)]
         return []
 
     def _handle_commit(
@@ -186,11 +213,13 @@
         if own_write is None:
             return []
         key = lease_key(self._settings.scope)
-        version = event.versions[key]
-        if version < self._row.version:
-            return []
         value = codec.encode_value(self._make_lease_row(own_write))
-        self._row = rows.Row(key, version, value, event.write_id)
+        row = rows.Row(
+            key, event.versions[key], value, event.write_id, event.era
+        )
+        if row.revision < self._row.revision:
+            return []
+        self._row = row
         self._unchanged_since = now
         self._pending_writes.clear()
         self._apply_own_write(own_write)
@@ -206,6 +235,7 @@
             self._valid_until = float('-inf')
             return
         self._valid_until = write.sent_at + self._settings.term
+        self._held_fence = write.fence
 
     def _discard_resolved(self, row: rows.Row) -> None:
         # A write takes effect only if the row still has the version that the
@@ -213,33 +243,41 @@
         # longer take effect. Until then it may still arrive late, but at most
         # one of the writes that expect the same version takes effect.
         resolved_ids = [
-            write_id
-            for write_id in self._pending_writes
-            if row.version > self._expected_version(write_id)
+            write.write_id
+            for write in self._pending_writes.values()
+            if row.revision > write.expected
         ]
         for write_id in resolved_ids:
             del self._pending_writes[write_id]
 
-    def _expected_version(self, write_id: str) -> int:
-        return int(write_id.rsplit('@', 1)[1])
-
     def _never_read(self) -> bool:
         return self._unchanged_since == float('inf')
 
-    def _is_own_lease(self, row: rows.Row) -> bool:
-        return row.version > 0 and (
-            self._decode_lease().holder == self._settings.holder
-        )
+    def _is_own_lease(self) -> bool:
+        lease = self._decode_lease()
+        return lease.holder == self._settings.holder and self._is_of_this_era()
+
+    def _is_of_this_era(self) -> bool:
+        """Return whether the lease was written in the table's present era."""
+        return fence_era(self._decode_lease().fence) == self._row.era
 
     def _is_free(self, now: float) -> bool:
-        if self._row.version == rows.ABSENT:
-            return True
         lease = self._decode_lease()
-        if lease.released:
-            return True
-        wait = lease.term + self._settings.margin
+        if not self._is_of_this_era():
+            if now < self._valid_until:
+                return True
+            term = max(lease.term, self._settings.term)
+            return self._is_unchanged_for(term, now)
+        return lease.released or self._is_unchanged_for(lease.term, now)
+
+    def _is_unchanged_for(self, term: float, now: float) -> bool:
+        wait = term + self._settings.margin
         return now - self._unchanged_since >= wait
 
+    def _next_fence(self) -> int:
+        first_fence = self._row.era * TOKENS_PER_ERA + 1
+        return max(self._decode_lease().fence + 1, first_fence)
+
     def _decode_lease(self) -> LeaseRow:
         if self._row.value is None:
             return LeaseRow('', 0, 0.0, released=True)
@@ -263,12 +301,16 @@
             self._write_count,
             self._row.version,
         )
-        pending = _PendingWrite(write_id, fence, now, release)
+        pending = _PendingWrite(
+            write_id, self._row.revision, fence, now, release
+        )
         self._pending_writes[write_id] = pending
         writes = [self._make_lease_write(pending)]
         if fence != self._decode_lease().fence:
             writes.append(self._make_fence_write(fence))
-        return actions.Commit(rows.Transaction(write_id, writes))
+        return actions.Commit(
+            rows.Transaction(write_id, writes, era=self._row.era)
+        )
 
     def _make_lease_write(self, pending: _PendingWrite) -> rows.Write:
         value = codec.encode_value(self._make_lease_row(pending))
--- a/src/cairnloom/coordination/usage.py
+++ b/src/cairnloom/coordination/usage.py
@@ -7,6 +7,10 @@
 and usage that was not yet written moves to a later window. The totals of a
 sealed window are written once, and only these totals are ever reported.
 
+If the table returns from a copy, contributors write again what it has lost
+(:meth:`UsageAccumulator.note_era`). A part of a window that was sealed before
+that has already been counted as it was then.
+
 All windows have the same length. A window is identified by its number, which
 is its start in Unix time divided by that length.
 """
@@ -18,6 +22,7 @@
 
 from . import actions
 from . import events
+from . import leases
 from . import rows
 
 
@@ -55,10 +60,10 @@
 
     ``teams`` holds the totals; it is empty while the state is ``sealed``.
     ``fence`` is the fencing token of the lease holder that wrote the state
-    ``sealed`` or ``final``.
+    ``sealed`` or ``final``. A window without a row is ``open``.
     """
 
-    state: Literal['sealed', 'final', 'reported']
+    state: Literal['open', 'sealed', 'final', 'reported']
     fence: int
     teams: dict[str, UsageCounts] = dataclasses.field(default_factory=dict)
 
@@ -70,6 +75,13 @@
     next_window: int
 
 
+@dataclasses.dataclass(frozen=True)
+class EraRow:
+    """The first window that can't have been sealed before an era began."""
+
+    first_window: int
+
+
 PROGRESS_KEY = 'usage/progress'
 
 
@@ -78,6 +90,11 @@
     return 'usage/windows/%012d' % window
 
 
+def era_key(era: int) -> str:
+    """Return the key of the row about the beginning of an era."""
+    return 'usage/eras/%06d' % era
+
+
 def part_prefix(window: int) -> str:
     """Return the common prefix of the keys of a window's parts."""
     return 'usage/parts/%012d/' % window
@@ -112,6 +129,8 @@
     ``figures`` are all counts recorded so far, ``written`` those known to be
     in the table, and ``write_ids`` the ids of all writes of this part.
     ``dirty`` is true if the newest counts still have to be sent.
+    ``written_before`` are the counts that were last in the table in an earlier
+    era, None if it has not returned from a copy since they were recorded.
     """
 
     window: int
@@ -120,6 +139,7 @@
     dirty: bool
     write_ids: list[str]
     written: dict[str, UsageCounts]
+    written_before: dict[str, UsageCounts] | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -129,7 +149,8 @@
     It includes the write whose outcome is not known yet, if there is one:
     ``writing`` is its window and ``in_write`` are its counts. ``closed`` is
     the newest window known to be sealed, and ``writes`` counts the writes so
-    far, so that their ids stay unique.
+    far, so that their ids stay unique. ``era`` is the table's era, None if it
+    is not known.
     """
 
     contributor: str
@@ -139,6 +160,7 @@
     write_id: str
     in_write: dict[str, UsageCounts]
     parts: list[PartState]
+    era: int | None = None
 
 
 @dataclasses.dataclass
@@ -153,6 +175,7 @@
     dirty: bool = False
     write_ids: set[str] = dataclasses.field(default_factory=set)
     written: dict[str, UsageCounts] = dataclasses.field(default_factory=dict)
+    written_before: dict[str, UsageCounts] | None = None
 
 
 class UsageAccumulator:
@@ -170,7 +193,8 @@
         self._in_flight_window: int | None = None
         self._write_id = ''
         self._needs_reread = False
-        self._window_sealed = False
+        self._seal_fence: int | None = None
+        self._era: int | None = None
         self._in_flight_counts: dict[str, UsageCounts] = {}
         self._write_count = 0
 
@@ -189,14 +213,16 @@
         accumulator._write_id = state.write_id
         accumulator._in_flight_counts = dict(state.in_write)
         accumulator._needs_reread = state.writing is not None
+        accumulator._era = state.era
         for part_state in state.parts:
             key = part_key(part_state.window, state.contributor)
             accumulator._parts[part_state.window] = _WindowPart(
                 dict(part_state.figures),
-                rows.Row(key, part_state.version),
+                rows.Row(key, part_state.version, era=state.era or 0),
                 part_state.dirty,
                 set(part_state.write_ids),
                 dict(part_state.written),
+                part_state.written_before,
             )
         return accumulator
 
@@ -213,6 +239,7 @@
                 part.dirty,
                 sorted(part.write_ids),
                 part.written,
+                part.written_before,
             )
             for window, part in sorted(self._parts.items())
         ]
@@ -224,8 +251,27 @@
             self._write_id,
             self._in_flight_counts,
             parts,
+            self._era,
         )
 
+    def note_era(self, era: int) -> None:
+        """Record the table's era.
+
+        In a later era than before, the table may have lost any part, so all
+        are written again.
+        """
+        if self._era is not None and era <= self._era:
+            return
+        has_returned_from_copy = self._era is not None
+        self._era = era
+        if not has_returned_from_copy:
+            return
+        for part in self._parts.values():
+            part.row = rows.Row(part.row.key, era=era)
+            part.written_before = part.written or part.written_before or {}
+            part.written = {}
+            part.dirty = bool(part.counts)
+
     def record(self, team: str, counts: UsageCounts, window: int) -> None:
         """Add a team's usage to a window.
 
@@ -255,8 +301,8 @@
     def step(self, event: events.TableEvent) -> list[actions.TableAction]:
         """Process the result of a table call."""
         match event:
-            case events.CommitDone(write_id=write_id, versions=versions):
-                return self._handle_commit(write_id, versions)
+            case events.CommitDone():
+                return self._handle_commit(event)
             case events.CommitConflict(write_id=write_id):
                 return self._reread(write_id)
             case events.CommitUnknown(write_id=write_id):
@@ -306,19 +352,30 @@
         write = rows.Write(part.row.key, value, part.row.version)
         window_is_open = rows.Check(window_key(window), rows.ABSENT)
         return actions.Commit(
-            rows.Transaction(self._write_id, [write], [window_is_open])
+            rows.Transaction(
+                self._write_id, [write], [window_is_open], self._era
+            )
         )
 
     def _handle_commit(
-        self, write_id: str, versions: dict[str, int]
+        self, event: events.CommitDone
     ) -> list[actions.TableAction]:
-        if write_id != self._write_id or self._in_flight_window is None:
+        if event.write_id != self._write_id or self._in_flight_window is None:
             return []
         part = self._parts[self._in_flight_window]
-        version = versions[part.row.key]
-        part.row = rows.Row(part.row.key, version, None, write_id)
-        part.written = self._in_flight_counts
         self._in_flight_window = None
+        self.note_era(event.era)
+        if event.era != self._era:
+            # The table has returned from a copy since this write.
+            part.written_before = self._in_flight_counts
+            part.dirty = True
+            return []
+        version = event.versions[part.row.key]
+        part.row = rows.Row(
+            part.row.key, version, None, event.write_id, event.era
+        )
+        part.written = self._in_flight_counts
+        part.dirty = part.written != part.counts
         return []
 
     def _handle_failure(self, write_id: str) -> list[actions.TableAction]:
@@ -341,7 +398,11 @@
             # The window's row is read before the part. Once the window's row
             # exists the part can no longer change, so a part that is read
             # afterwards is final.
-            self._window_sealed = row.version != rows.ABSENT
+            self._seal_fence = (
+                None
+                if row.value is None
+                else codec.decode_value(WindowRow, row.value).fence
+            )
             return [actions.Read(part.row.key)]
         if row.key == part.row.key:
             self._handle_part_row(window, row)
@@ -357,13 +418,25 @@
 
     def _handle_part_row(self, window: int, row: rows.Row) -> None:
         part = self._parts[window]
+        self.note_era(row.era)
+        if row.era != self._era:
+            # The row was read before the table returned from a copy.
+            self._needs_reread = True
+            return
         self._in_flight_window = None
+        part.row = row
+        part.written = {}
         if row.write_id in part.write_ids and row.value is not None:
             part.written = codec.decode_value(PartRow, row.value).teams
-        part.row = row
         part.dirty = part.written != part.counts
-        if self._window_sealed:
-            self._carry_over_remainder(window, part)
+        if self._seal_fence is None:
+            return
+        if (
+            part.written_before is not None
+            and leases.fence_era(self._seal_fence) < row.era
+        ):
+            part.written = part.written_before
+        self._carry_over_remainder(window, part)
 
     def _carry_over_remainder(self, window: int, part: _WindowPart) -> None:
         remainder = _subtract(part.counts, part.written)
--- a/src/cairnloom/entry/cluster_state.py
+++ b/src/cairnloom/entry/cluster_state.py
@@ -1,7 +1,8 @@
 """A host's copy of the deployment's configuration and list of endpoints.
 
 The state is updated from the platform's store while this host follows it, and
-from the answers of hubs. Versions never go back within a process.
+from the answers of hubs. Versions never go back within a process, except in a
+later era of the store, which has then returned from a copy.
 """
 
 import dataclasses
@@ -39,7 +40,8 @@
     ``version`` is the store's version after the changes. ``table`` is set if
     the configuration is among the changes, and ``document`` is then its
     encoded form. If ``whole`` is set, the changes list all instances that
-    exist.
+    exist. ``era`` is the store's era that the versions belong to, None if the
+    changes were not read from the store.
     """
 
     version: int
@@ -47,6 +49,7 @@
     document: bytes = b''
     changes: tuple[instances.InstanceChange, ...] = ()
     whole: bool = False
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,7 +92,9 @@
     A hub that is connected to the store answers sync requests with its current
     state. ``hub_synced_at`` is the time at which the latest of the requests
     that were answered in this way was sent. ``reachable`` records for each
-    source whether the store answers calls for it.
+    source whether the store answers calls for it. ``era`` is the store's
+    latest known era, None if it is not known, and ``era_since`` the time at
+    which this host learned of it.
     """
 
     def __init__(self) -> None:
@@ -100,6 +105,8 @@
         self.reachable: dict[str, bool] = {}
         self.hub_synced_at = float('-inf')
         self.on_removed: Callable[[instances.Instance], None] = lambda _: None
+        self.era: int | None = None
+        self.era_since = float('-inf')
 
     @property
     def limits(self) -> routes.CallerLimits:
@@ -139,8 +146,31 @@
             else UNKNOWN_ENGINE
         )
 
+    def note_era(self, era: int, now: float) -> None:
+        """Record the store's era; an earlier one has no effect."""
+        if self.era is not None and era <= self.era:
+            return
+        if self.era is not None:
+            logs.log_event('store_returned_from_copy', era=era)
+            self.directory.forget_versions()
+        self.era = era
+        self.era_since = now
+
+    def accept_era(self, era: int | None, now: float) -> bool:
+        """Record the era of some changes; return whether it is the latest.
+
+        It is None if the changes are not versions of the store's rows, or come
+        from a host of an older build.
+        """
+        if era is None:
+            return True
+        self.note_era(era, now)
+        return era == self.era
+
     def apply_update(self, update: Update, now: float) -> None:
         """Apply changes read from a source."""
+        if not self.accept_era(update.era, now):
+            return
         if update.table is not None:
             self._configure(update.table, update.document)
         if update.whole:
@@ -266,6 +296,7 @@
         self._source = source
         self._cluster_state = cluster_state
         self._version: int | None = None
+        self._era: int | None = None
         self._retry_delay = FIRST_PAUSE_SECONDS
         self.max_retry_delay = LONGEST_PAUSE_SECONDS
         self._last_call_failed = False
@@ -338,12 +369,12 @@
                 return
         else:
             next_update = await self._follow(self._version)
-            if next_update is None:
+            if next_update is None or next_update.era != self._era:
                 logs.log_event('history_lost', source=self._source.name)
                 self._version = None
                 return
             update = next_update
-        self._version = update.version
+        self._version, self._era = update.version, update.era
         self._cluster_state.apply_update(update, self._reactor.seconds())
         if update.changes and not update.whole:
             # Changes often come together, and each call costs money.
--- a/src/cairnloom/entry/hubs.py
+++ b/src/cairnloom/entry/hubs.py
@@ -173,6 +173,7 @@
             leaving=cluster.directory.list_unlisted_leaving(),
             speed=self._host.endpoint_selector.speed.make_report(),
             changes=changed_hosts,
+            era=cluster.era,
         )
 
     async def _ask_unknown_hosts(self) -> None:
@@ -328,17 +329,19 @@
             # more.
             self._revisions.clear()
             host.announcements.forget_hubs()
-        self._revisions[reply.owner] = (
-            reply.directory,
-            reply.hosts,
-            reply.limits,
-        )
         if reply.document is not None:
             document = base64.b64decode(reply.document)
             cluster.apply_update(self._decode_document(document), now)
         host.announcements.receive(reply.leaving, hub.host, now)
-        cluster.apply_peer_update(reply.endpoints, now)
-        if reply.fresh:
+        is_of_latest_era = cluster.accept_era(reply.era, now)
+        if is_of_latest_era:
+            cluster.apply_peer_update(reply.endpoints, now)
+        self._revisions[reply.owner] = (
+            reply.directory if is_of_latest_era else -1,
+            reply.hosts,
+            reply.limits,
+        )
+        if reply.fresh and is_of_latest_era:
             cluster.hub_synced_at = max(cluster.hub_synced_at, sent_at)
         host.quarantine.merge(reply.marks, now)
         host.crashing_parts.merge(reply.findings, now)
--- a/src/cairnloom/entry/leader_tasks.py
+++ b/src/cairnloom/entry/leader_tasks.py
@@ -82,7 +82,9 @@
         host = self._host
         now = host.now()
         conditions = reporting.SealingConditions(
-            now - host.store_recovered_at, host.members.awaits_lost_host(now)
+            now - host.store_recovered_at,
+            host.members.awaits_lost_host(now),
+            now - host.cluster_state.era_since,
         )
         await self._reporter.report_due(
             now + host.clock.offset, conditions, get_authority
--- a/src/cairnloom/entry/messages.py
+++ b/src/cairnloom/entry/messages.py
@@ -81,7 +81,8 @@
     endpoints come with their software versions, which hosts of older builds
     leave out. ``leaving`` are runs of endpoints that leave and that are not
     among ``endpoints``, as the sender has not read their rows. ``speed`` is
-    what the sender has learned about the speed of the engines.
+    what the sender has learned about the speed of the engines. ``era`` is the
+    store's era that the versions in ``endpoints`` belong to.
     """
 
     owner: str
@@ -102,6 +103,7 @@
     leaving: list[str] = dataclasses.field(default_factory=list)
     speed: engine_speed.SpeedReport | None = None
     changes: members.HostChanges | None = None
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -338,6 +338,7 @@
             )
             self._followers.append(follower)
             cluster_state.run_task(follower.run())
+        self._platform.store.on_era = self._note_era
         self._platform.store.on_recovery = self._note_recovery
         self._platform.store.on_failure = self._note_outage
         for loop in self._loops:
@@ -457,6 +458,13 @@
         self._host.store_recovered_at = self._host.now()
         self._note_outage()
 
+    def _note_era(self, era: int) -> None:
+        cluster = self._host.cluster_state
+        is_first = cluster.era is None
+        cluster.note_era(era, self._host.now())
+        if not is_first:
+            self._note_recovery()
+
     def _report_streams(self, service: str) -> None:
         """Report the streams in progress, which were not reported so far."""
         logs.log_event('versions_mixed', service=service)
@@ -542,9 +550,13 @@
             host.window_number(host.now()) - KEPT_WINDOWS
         )
         for accumulator in host.usage_accumulators():
+            if host.cluster_state.era is not None:
+                accumulator.note_era(host.cluster_state.era)
             # Just after the end of a window, both its part and the part of the
-            # next window have unwritten changes.
-            for _ in range(WINDOWS_PER_FLUSH):
+            # next window have unwritten changes. More of them have if the
+            # store has returned from a copy.
+            part_count = accumulator.count_unwritten()
+            for _ in range(max(WINDOWS_PER_FLUSH, part_count)):
                 await self._relayed_runner.drive(
                     accumulator.flush(), accumulator.step
                 )
--- a/src/cairnloom/entry/registration.py
+++ b/src/cairnloom/entry/registration.py
@@ -82,6 +82,8 @@
         )
         new_row = members.strip_clock(self._members.own_row)
         version = rows.ABSENT
+        # The store may have lost the row that was written.
+        self._written_row = None
         self.unknown_hosts = []
         removals = []
         for row in read_rows:
--- a/src/cairnloom/entry/relay.py
+++ b/src/cairnloom/entry/relay.py
@@ -56,7 +56,8 @@
 class BatchingTable:
     """Execute transactions that arrive close together as one batch.
 
-    If the batch conflicts, each of its transactions is executed alone.
+    If the batch conflicts, each of its transactions is executed alone, as they
+    are if they expect versions of different eras of the store.
     """
 
     def __init__(self, reactor: Any, table: StoreTable) -> None:
@@ -87,7 +88,8 @@
             pending_commits = pending_commits[MAX_BATCH_SIZE:]
 
     async def _execute(self, batch: list[_PendingCommit]) -> None:
-        if len(batch) > 1:
+        eras = {item.transaction.era for item in batch}
+        if len(batch) > 1 and len(eras) == 1:
             result = await self._table.commit(self._merge_transactions(batch))
             if result.is_error() or isinstance(result.ok, rows.Committed):
                 for pending_commit in batch:
@@ -118,6 +120,7 @@
                 for write in pending_commit.transaction.writes
             ],
             list(checks.values()),
+            batch[0].transaction.era,
         )
 
 
@@ -129,7 +132,9 @@
     assert isinstance(result.ok, rows.Committed)
     keys = [write.key for write in transaction.writes]
     versions = result.ok.versions
-    return expression.Ok(rows.Committed({key: versions[key] for key in keys}))
+    return expression.Ok(
+        rows.Committed({key: versions[key] for key in keys}, result.ok.era)
+    )
 
 
 def _log_failed_batch(reason: Any) -> None:
--- a/src/cairnloom/platform/names.py
+++ b/src/cairnloom/platform/names.py
@@ -33,6 +33,8 @@
 RETRY_AFTER = b'Retry-After'
 # Is 1 if the endpoint is about to shut down, else 0 or absent.
 LEAVING = b'Server-Leaving'
+# In answers of the store: rises by one each time that it returns from a copy.
+ERA = b'Store-Era'
 HOLDER = b'Lease-Holder'
 FENCE = b'Fencing-Token'
 PRIORITY = b'Request-Priority'
--- a/src/cairnloom/platform/sources.py
+++ b/src/cairnloom/platform/sources.py
@@ -53,11 +53,13 @@
         return cluster_state.Update(0, table=table, document=data)
 
     def _decode(self, listing: store.Listing) -> cluster_state.Update:
-        update = cluster_state.Update(listing.version)
+        update = cluster_state.Update(listing.version, era=listing.era)
         for row in listing.rows:
             if row.key == configuration.KEY and row.data is not None:
                 update = dataclasses.replace(
-                    self.decode(row.data), version=listing.version
+                    self.decode(row.data),
+                    version=listing.version,
+                    era=listing.era,
                 )
         return update
 
@@ -107,4 +109,5 @@
             listing.version,
             changes=tuple(changes),
             whole=lists_all_rows,
+            era=listing.era,
         )
--- a/src/cairnloom/platform/store.py
+++ b/src/cairnloom/platform/store.py
@@ -6,6 +6,10 @@
 All rows of the system are in one table. The value of a row holds the id of
 the transaction that wrote it, so that a write whose reply was lost is
 recognised when the row is read back.
+
+The store may return from a copy that is some seconds old. Its answers name its
+era, which then rises. Answers of an earlier era than the latest one are
+dropped, and no transaction is sent whose expected versions are of one.
 """
 
 import base64
@@ -21,6 +25,9 @@
 from ..coordination import rows
 from ..entry import settings
 from ..protocol import client
+from ..runtime import logs
+
+from . import names
 
 # The table that holds all rows of the system.
 TABLE = 'cairnloom'
@@ -54,12 +61,14 @@
 
     ``store_seconds`` is the store's monotonic clock, which all hosts share.
     ``truncated`` is true if the reply could not hold all rows asked for.
+    ``era`` is the era that the versions belong to.
     """
 
     rows: list[RawRow]
     version: int
     store_seconds: float
     truncated: bool = False
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -90,6 +99,9 @@
         self.on_recovery: Callable[[], None] = lambda: None
         # Called on each call that fails or is refused.
         self.on_failure: Callable[[], None] = lambda: None
+        # Called with the store's era on its first answer in that era.
+        self.on_era: Callable[[int], None] = lambda era: None
+        self._era: int | None = None
         self.available = True
         self._base_url = 'http://%s:%d' % (address.host, address.port)
         self.reads = 0
@@ -105,8 +117,8 @@
             return expression.Error(fault)
         for row in listing.rows:
             if row.key == key:
-                return _decode_row(row)
-        return expression.Ok(rows.Row(key))
+                return _decode_row(row, listing.era)
+        return expression.Ok(rows.Row(key, era=listing.era))
 
     async def scan(
         self, prefix: str, after: str = ''
@@ -119,7 +131,7 @@
             )
         except exceptions.PlatformError as fault:
             return expression.Error(fault)
-        decoded_rows = [_decode_row(row) for row in listing.rows]
+        decoded_rows = [_decode_row(row, listing.era) for row in listing.rows]
         return expression.Ok(
             rows.ScanResult([row.ok for row in decoded_rows if row.is_ok()])
         )
@@ -128,6 +140,11 @@
         self, transaction: rows.Transaction
     ) -> expression.Result[rows.Outcome, exceptions.PlatformError]:
         """Commit a transaction; it is sent only once, with no retry."""
+        expected_era = transaction.era
+        if None not in (expected_era, self._era) and (
+            expected_era != self._era
+        ):
+            return expression.Ok(rows.Conflict([]))
         self.writes += 1
         try:
             reply = await self._call(
@@ -136,8 +153,12 @@
                 orjson.dumps(_encode_transaction(transaction)),
             )
             body = _parse_object(reply.body)
+            era = self._era_of(reply)
             if reply.status == 412:
-                return expression.Ok(_decode_conflict(body))
+                return expression.Ok(_decode_conflict(body, era))
+            if expected_era not in (None, era):
+                # Versions that happen to be the same again prove nothing.
+                raise exceptions.PlatformError('store: other era', True)
             version = int(body['Ver'])
         except exceptions.PlatformError as fault:
             return expression.Error(fault)
@@ -147,7 +168,7 @@
             )
         return expression.Ok(
             rows.Committed(
-                {write.key: version for write in transaction.writes}
+                {write.key: version for write in transaction.writes}, era
             )
         )
 
@@ -157,9 +178,13 @@
         Raises :class:`~cairnloom.exceptions.PlatformError`.
         """
         start = ''
+        era: int | None = None
         raw_rows: list[RawRow] = []
         while True:
             listing = await self._list(table, start)
+            if era not in (None, listing.era):
+                raise exceptions.PlatformError('store: other era')
+            era = listing.era
             raw_rows.extend(listing.rows)
             if not listing.truncated:
                 return dataclasses.replace(listing, rows=raw_rows)
@@ -186,7 +211,7 @@
         )
         if reply.status == 410:
             return HistoryLost()
-        return _decode_listing(_parse_object(reply.body))
+        return _decode_listing(_parse_object(reply.body), self._era_of(reply))
 
     async def _list(
         self, table: str, start: str = '', end: str = '', limit: int = 500
@@ -201,7 +226,9 @@
         reply = await self._call(
             'GET', '/v1/rows-get?' + parse.urlencode(query)
         )
-        listing = _decode_listing(_parse_object(reply.body))
+        listing = _decode_listing(
+            _parse_object(reply.body), self._era_of(reply)
+        )
         self._measure_clock(sent_at, listing.store_seconds)
         return listing
 
@@ -239,8 +266,29 @@
             raise exceptions.PlatformError(
                 'store: status %d' % reply.status, not was_refused
             )
+        self._check_era(self._era_of(reply))
         return reply
 
+    def _era_of(self, reply: client.Reply) -> int:
+        """Return the era of an answer; stores without eras don't name it."""
+        values = reply.headers.getRawHeaders(names.ERA)
+        if not values:
+            return self._era or 0
+        try:
+            return int(values[0])
+        except ValueError as fault:
+            raise exceptions.PlatformError(
+                'store: %s' % fault, True
+            ) from fault
+
+    def _check_era(self, era: int) -> None:
+        if self._era is not None and era < self._era:
+            raise exceptions.PlatformError('store: earlier era', True)
+        if era != self._era:
+            logs.log_event('store_era', era=era, before=self._era)
+            self._era = era
+            self.on_era(era)
+
 
 def _encode_transaction(transaction: rows.Transaction) -> dict[str, Any]:
     conditions: list[rows.Write | rows.Check] = [
@@ -292,7 +340,7 @@
     return fields
 
 
-def _decode_listing(body: dict[str, Any]) -> Listing:
+def _decode_listing(body: dict[str, Any], era: int) -> Listing:
     try:
         raw_rows = [
             _decode_raw_row(row)
@@ -304,6 +352,7 @@
             int(body['Ver']),
             float(body.get('NowMs', 0)) / 1000,
             bool(body.get('Truncated')),
+            era,
         )
     except (KeyError, TypeError, ValueError) as fault:
         raise exceptions.PlatformError('store: %r' % fault) from fault
@@ -316,20 +365,20 @@
     return RawRow(row['Key'], int(row['Ver']), data)
 
 
-def _decode_conflict(body: dict[str, Any]) -> rows.Conflict:
+def _decode_conflict(body: dict[str, Any], era: int) -> rows.Conflict:
     decoded_rows = [
-        _decode_row(_decode_raw_row(row)) for row in body.get('Rows', [])
+        _decode_row(_decode_raw_row(row), era) for row in body.get('Rows', [])
     ]
     return rows.Conflict([row.ok for row in decoded_rows if row.is_ok()])
 
 
 def _decode_row(
-    raw_row: RawRow,
+    raw_row: RawRow, era: int
 ) -> expression.Result[rows.Row, exceptions.PlatformError]:
     try:
         body = orjson.loads(raw_row.data or b'')
         return expression.Ok(
-            rows.Row(raw_row.key, raw_row.version, body['v'], body['id'])
+            rows.Row(raw_row.key, raw_row.version, body['v'], body['id'], era)
         )
     except (orjson.JSONDecodeError, KeyError, TypeError) as fault:
         return expression.Error(
--- a/src/cairnloom/routing/instances.py
+++ b/src/cairnloom/routing/instances.py
@@ -141,6 +141,17 @@
         """
         self._grace_until = now + OUTAGE_GRACE_SECONDS
 
+    def forget_versions(self) -> None:
+        """Accept any version from now on.
+
+        Called when the store has returned from a copy, as it then gives
+        versions again. The entries stay until the store is read again.
+        """
+        for entry in self._entries.values():
+            entry.version = 0
+        self._removed_versions.clear()
+        self.version = 0
+
     def note_version(self, version: int) -> None:
         """Record that the directory is complete up to a version."""
         self.version = max(self.version, version)
--- a/src/cairnloom/runtime/runner.py
+++ b/src/cairnloom/runtime/runner.py
@@ -76,7 +76,7 @@
                 return events.CommitUnknown(write_id)
             return events.CommitFailed(write_id)
         match result.ok:
-            case rows.Committed(versions=versions):
-                return events.CommitDone(write_id, versions, sent_at)
+            case rows.Committed(versions=versions, era=era):
+                return events.CommitDone(write_id, versions, sent_at, era)
             case rows.Conflict(rows=conflicting_rows):
                 return events.CommitConflict(write_id, conflicting_rows)
--- a/src/cairnloom/standins/atlas.py
+++ b/src/cairnloom/standins/atlas.py
@@ -39,11 +39,20 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreCopy:
+    """The rows, the history and the latest version at one moment."""
+
+    rows: dict[tuple[str, str], StoreRow]
+    history: list[StoreRow]
+    version: int
+
+
 class MetadataStore:
     """The metadata store: rows with versions, and a history of changes.
 
     The next ``lost_replies`` transactions are committed, but their replies
-    are lost.
+    are lost. Answers name the ``era`` unless it is 0.
     """
 
     def __init__(self, read_clock: Callable[[], float]) -> None:
@@ -55,6 +64,7 @@
         self._history: list[StoreRow] = []
         self._history_start = 0
         self._version = 0
+        self.era = 0
         self.waiting_calls: list[Callable[[], None]] = []
 
     def set_mode(self, mode: str) -> None:
@@ -74,6 +84,24 @@
         self._set(table, key, value)
         self._wake_waiting()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to which the store may return later."""
+        return StoreCopy(dict(self._rows), list(self._history), self._version)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to a copy, and write again what others than hosts wrote."""
+        newest_rows = self._rows
+        self._rows, self._version = dict(copy.rows), copy.version
+        self._history = list(copy.history)
+        self.era += 1
+        for table, key in sorted(newest_rows.keys() | copy.rows.keys()):
+            row = newest_rows.get((table, key))
+            if table in ('op', 'servers') and row != copy.rows.get(
+                (table, key)
+            ):
+                self.put(table, key, row.value if row else None)
+        self._wake_waiting()
+
     def drop_history(self) -> None:
         """Drop the history, so that earlier changes can't be followed."""
         self._history_start = self._version
@@ -123,8 +151,8 @@
         return body
 
     def changes(self, table: str, after: int) -> list[StoreRow] | None:
-        """Return the changes after a version, or None if they were dropped."""
-        if after < self._history_start:
+        """Return the changes after a version, or None if they are unknown."""
+        if not self._history_start <= after <= self._version:
             return None
         return [
             row
@@ -410,14 +438,20 @@
                 self._store.lost_replies -= 1
                 request.reset()
                 return
-            request.reply(status, body)
+            self._reply(request, status, body)
         elif path == '/v1/rows-get':
-            request.reply(200, self._store.list_rows(request.query()))
+            self._reply(request, 200, self._store.list_rows(request.query()))
         elif path == '/v1/rows-feed':
             self._follow(request, self.reactor.seconds())
         else:
             request.reply(404)
 
+    def _reply(self, request: _Request, status: int, body: Any = b'') -> None:
+        if self._store.era:
+            era = b'%d' % self._store.era
+            request.setHeader(names.ERA, era)
+        request.reply(status, body)
+
     def _follow(self, request: _Request, started_at: float) -> None:
         query = request.query()
         changed_rows = self._store.changes(query['Table'], int(query['after']))
@@ -427,9 +461,9 @@
                 lambda: self._follow(request, started_at)
             )
         elif changed_rows is None:
-            request.reply(GONE)
+            self._reply(request, GONE)
         elif changed_rows or waited_seconds * 1000 >= int(query['WaitMs']):
-            request.reply(200, self._store.encode_rows(changed_rows))
+            self._reply(request, 200, self._store.encode_rows(changed_rows))
         else:
             self._store.waiting_calls.append(
                 lambda: self._follow(request, started_at)
--- a/src/cairnloom/standins/store.py
+++ b/src/cairnloom/standins/store.py
@@ -1,5 +1,6 @@
 """Stand-in for the table service and the object store, with faults."""
 
+import dataclasses
 from typing import Any
 from urllib import parse
 
@@ -12,19 +13,41 @@
 OUTAGE_STATUS = 503
 
 
+@dataclasses.dataclass(frozen=True)
+class TableCopy:
+    """The rows of a table and its latest version at one moment."""
+
+    rows: dict[str, rows.Row]
+    version: int
+
+
 class TableStore:
-    """Rows in memory; each write gives its row a version never used before."""
+    """Rows in memory; each write gives its row a version never used before.
+
+    If the table returns from a copy, versions are used again in a new era.
+    """
 
     def __init__(self) -> None:
         self._rows: dict[str, rows.Row] = {}
         self._version = 0
+        self.era = 0
         self.reads = 0
         self.writes = 0
 
     def read(self, key: str) -> rows.Row:
         """Return a row; an absent one has version ``ABSENT``."""
         self.reads += 1
-        return self._rows.get(key, rows.Row(key))
+        row = self._rows.get(key, rows.Row(key))
+        return dataclasses.replace(row, era=self.era)
+
+    def copy(self) -> TableCopy:
+        """Return a copy to which the table may be restored later."""
+        return TableCopy(dict(self._rows), self._version)
+
+    def restore(self, copy: TableCopy) -> None:
+        """Return to a copy; all later writes are lost."""
+        self._rows, self._version = dict(copy.rows), copy.version
+        self.era += 1
 
     def scan(self, prefix: str, after: str) -> rows.ScanResult:
         """Return the rows that match a prefix and come after a key."""
@@ -32,7 +55,12 @@
         keys = sorted(
             key for key in self._rows if key.startswith(prefix) and key > after
         )
-        return rows.ScanResult([self._rows[key] for key in keys])
+        return rows.ScanResult(
+            [
+                dataclasses.replace(self._rows[key], era=self.era)
+                for key in keys
+            ]
+        )
 
     def commit(self, transaction: rows.Transaction) -> rows.Outcome:
         """Commit a transaction, or return the rows that conflict with it."""
@@ -53,7 +81,8 @@
             {
                 item.key: self._version_of(item.key)
                 for item in transaction.writes
-            }
+            },
+            self.era,
         )
 
     def _version_of(self, key: str) -> int:
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -109,9 +109,12 @@
 
     def _commit(self, transaction, sent_at):
         match self.table.commit(transaction):
-            case rows.Committed(versions=versions):
+            case rows.Committed(versions=versions, era=era):
+                if transaction.era not in (None, era):
+                    # The table's versions were the expected ones by chance.
+                    return events.CommitUnknown(transaction.write_id)
                 return events.CommitDone(
-                    transaction.write_id, versions, sent_at
+                    transaction.write_id, versions, sent_at, era
                 )
             case rows.Conflict(rows=conflicting_rows):
                 return events.CommitConflict(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -461,6 +461,56 @@
     )
 
 
+def make_era_reply(era, **fields):
+    return client.Reply(
+        200,
+        json.dumps({'Rows': [], 'Ver': 9, 'NowMs': 1} | fields).encode(),
+        http_headers.Headers({'Store-Era': [str(era)]}),
+    )
+
+
+def test_answer_of_an_earlier_era_is_dropped():
+    """Guards against acting on what a restored store has lost."""
+    adapter, _ = make_store(
+        make_era_reply(2), make_era_reply(1), make_era_reply(1)
+    )
+    eras = []
+    adapter.on_era = eras.append
+    assert run_coroutine(adapter.read('k')).ok == rows.Row('k', era=2)
+    assert run_coroutine(adapter.read('k')).is_error()
+    result = run_coroutine(
+        adapter.commit(rows.Transaction('w', [rows.Write('k', 1, 0)]))
+    )
+    assert result.is_error() and result.error.outcome_unknown
+    assert eras == [2]
+
+
+def test_transaction_on_versions_of_an_earlier_era_is_not_sent():
+    """Guards against versions that a restored store has given out again."""
+    adapter, http = make_store(make_era_reply(2))
+    run_coroutine(adapter.read('k'))
+    transaction = rows.Transaction('w', [rows.Write('k', 1, 3)], era=1)
+    assert run_coroutine(adapter.commit(transaction)).ok == rows.Conflict([])
+    assert len(http.sent) == 1
+
+
+def test_outcome_is_unknown_if_the_store_was_restored_meanwhile():
+    adapter, _ = make_store(make_era_reply(1), make_era_reply(2))
+    run_coroutine(adapter.read('k'))
+    transaction = rows.Transaction('w', [rows.Write('k', 1, 3)], era=1)
+    result = run_coroutine(adapter.commit(transaction))
+    assert result.is_error() and result.error.outcome_unknown
+
+
+def test_listing_is_of_one_era():
+    adapter, _ = make_store(
+        make_era_reply(1, Rows=[make_raw_row('a', 1, 1)], Truncated=True),
+        make_era_reply(2),
+    )
+    with pytest.raises(exceptions.PlatformError):
+        run_coroutine(adapter.list_rows('servers'))
+
+
 def test_cloud_api_calls_are_encoded(snapshot):
     http = RecordingClient(
         client.Reply(200, b''), client.Reply(200, b''), client.Reply(409, b'')
