Record in the store which software versions services have had

Cause: a host that has observed one version for 30 s does not report its streams, as all others are taken to know that version too. Hosts started since then can't know it.

Ruled out: lost reports (there were none), another version in the directory.

Why it works: hubs write the versions, and since when they are recorded, to the store when they change; a new hub reads them at its start.

--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -52,6 +52,7 @@
 from . import status
 from . import stream_origins
 from . import upstream
+from . import version_records
 
 # The lease lasts this much longer than ``Bounds.lease``, the time within which
 # it must not pass from one host to another.
@@ -511,6 +512,21 @@
         )
         self._hub_sync.queue_unknown_hosts(host_registration.unknown_hosts)
         host_registration.unknown_hosts = []
+        if self._members.is_hub():
+            await self._keep_version_record()
+
+    async def _keep_version_record(self) -> None:
+        host, cluster = self._host, self._host.cluster_state
+        store_ahead, era = host.clock.store_ahead, cluster.era
+        if store_ahead is None or era is None:
+            return
+        if not (cluster.is_store_reachable() and cluster.directory.loaded):
+            return
+        record = self._stream_origins.record
+        observation = version_records.Observation(
+            host.now(), store_ahead, era, cluster.directory.list_versions()
+        )
+        await self._runner.drive(record.begin(observation), record.step)
 
     def _publish_start_time(self) -> None:
         start_time = self._host.clock.store_seconds(self._started_at)
--- a/src/cairnloom/entry/stream_origins.py
+++ b/src/cairnloom/entry/stream_origins.py
@@ -20,6 +20,7 @@
 from . import messages
 from . import peers
 from . import requests
+from . import version_records
 
 # A hub answers within a few milliseconds.
 TIMEOUT_SECONDS = 0.2
@@ -52,6 +53,9 @@
         self._versions = stream_versions.StreamVersions()
         self._history = stream_versions.VersionHistory()
         self._uniform_services: set[str] = set()
+        self.record = version_records.VersionRecord(
+            membership.own_row.owner, self._history
+        )
         self.on_mixed: Callable[[str], None] = lambda service: None
 
     def watch(self) -> None:
--- a/src/cairnloom/routing/stream_versions.py
+++ b/src/cairnloom/routing/stream_versions.py
@@ -5,7 +5,8 @@
 on only at the version that began it. Hosts report the streams that they send
 to a service that may have endpoints of several versions. While a service had
 endpoints of one version only, nothing needs to be reported, as each of its
-streams began at that version.
+streams began at that version. Hosts that are started later learn from the
+store which versions there were (:mod:`cairnloom.entry.version_records`).
 """
 
 import collections
@@ -135,6 +136,26 @@
             if now - listed_at >= STREAM_SECONDS:
                 del history.listed_at[version]
 
+    def merge(
+        self, service: str, since: float, listed_at: dict[str, float]
+    ) -> None:
+        """Add what was recorded of a service while this host did not watch.
+
+        ``since`` is when the record began, and ``listed_at`` holds the time at
+        which each version was listed last.
+        """
+        history = self._services.setdefault(service, _ServiceHistory(since))
+        history.since = min(history.since, since)
+        for version, seconds in listed_at.items():
+            history.listed_at[version] = max(
+                seconds, history.listed_at.get(version, seconds)
+            )
+
+    def find_start(self, service: str, now: float) -> float:
+        """Return since when a service is watched, ``now`` if it is not."""
+        history = self._services.get(service)
+        return history.since if history else now
+
     def find_only_version(self, service: str, now: float) -> str | None:
         """Return the version that began each stream that may be taken up.
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -7,8 +7,11 @@
 import dataclasses
 
 import atlas_deployment
+import orjson
 import pytest
 
+from cairnloom.entry import version_records
+from cairnloom.platform import store
 from cairnloom.routing import instances
 from cairnloom.routing import stream_versions
 from cairnloom.standins import atlas
@@ -223,6 +226,80 @@
     assert (answer.status, answer.whole) == (200, True)
 
 
+def pretend_to_have_recorded(deployment):
+    """Have the store's record begin before any stream that may go on."""
+    record = atlas_deployment.wait_for(
+        lambda: deployment.store.read(store.TABLE, version_records.KEY)
+    )
+    fields = orjson.loads(record)
+    for entry in fields['v']['services'].values():
+        entry['since'] -= stream_versions.STREAM_SECONDS
+    atlas_deployment.run_in_reactor(
+        deployment.store.put,
+        store.TABLE,
+        version_records.KEY,
+        orjson.dumps(fields),
+    )
+
+
+def restart(deployment, host):
+    """End a host's process, and start another one in its place."""
+    atlas_deployment.run_in_reactor(deployment.programs[host].kill)
+    name = deployment.programs[host]._settings.host
+    deployment.programs[host] = deployment.start_host(name)
+    deployment.programs.pop()
+
+
+def test_stream_of_a_killed_host_is_known_after_planned_restarts(deploy):
+    """Guards against refusing all streams of the last old host (LOST)."""
+    engines = [make_engine('e%d' % number, 'v1') for number in range(3)]
+    deployment = deploy(*engines, hosts=3)
+    for program in deployment.programs:
+        pretend_to_have_watched(program)
+    pretend_to_have_recorded(deployment)
+    for host in (0, 1):
+        restart(deployment, host)
+    stream = deployment.begin_stream(host=2)
+    refuse_at_first_engine(deployment, stream)
+    atlas_deployment.run_in_reactor(deployment.programs[2].kill)
+    answer = deployment.resume_stream(stream, host=0)
+    assert (answer.status, answer.whole) == (200, True)
+
+
+def test_stream_is_known_after_the_loss_of_all_hosts(deploy):
+    """Guards against refusing all streams after a kill of all hosts."""
+    engines = [make_engine('e%d' % number, 'v1') for number in range(3)]
+    deployment = deploy(*engines, hosts=2)
+    pretend_to_have_recorded(deployment)
+    stream = deployment.begin_stream()
+    refuse_at_first_engine(deployment, stream)
+    for host in (0, 1):
+        restart(deployment, host)
+    answer = deployment.resume_stream(stream, host=1)
+    assert (answer.status, answer.whole) == (200, True)
+
+
+def test_stream_is_refused_if_the_store_has_recorded_two_versions(deploy):
+    """Guards against joining versions when a version has just left (ORDER)."""
+    engines = make_engines_of_two_versions()
+    deployment = deploy(*engines, hosts=2)
+    pretend_to_have_recorded(deployment)
+    old_engines = [engine for engine in engines if engine.software == 'v1']
+    stream = deployment.begin_stream()
+    for engine in old_engines:
+        deployment.remove_endpoint(engine.name)
+    atlas_deployment.wait_for(
+        lambda: all(
+            not program._host.cluster_state.directory.find(engine.name)
+            for program in deployment.programs
+            for engine in old_engines
+        )
+    )
+    for host in (0, 1):
+        restart(deployment, host)
+    assert deployment.resume_stream(stream, host=1).status == 503
+
+
 def test_new_host_learns_from_hubs_that_there_was_one_version(deploy):
     engines = [make_engine('e%d' % number, 'v1') for number in range(3)]
     deployment = deploy(*engines, hosts=3)
