Read the store before concluding that a stream began at the only version

Cause: the host's connection to the store counted as good until a call failed, which takes up to 11.5 s in a silent cut, and never happens right after a suspension; one hub with the same belief was enough too.

The state machine with releases that a host misses catches TrustingOrigins.

Why it works: the conclusion rests on a read that began after the request arrived, not on the last known state.

--- a/src/cairnloom/entry/cluster_state.py
+++ b/src/cairnloom/entry/cluster_state.py
@@ -24,11 +24,16 @@
 # LONGEST_PAUSE_SECONDS.
 FIRST_PAUSE_SECONDS = 0.2
 LONGEST_PAUSE_SECONDS = 2.0
+# How long the store may hold a call that waits for changes. This also bounds
+# how long it takes to notice a call that was lost in an outage.
+FEED_WAIT_SECONDS = 10.0
 # How long a follower pauses after it has read changes. Changes often come
 # together, and the next call then reads all of them.
 FEED_PAUSE_SECONDS = 0.2
 # How long an answer of a hub that is connected to the store counts as current.
 HUB_ANSWER_VALID_SECONDS = 1.0
+# The name of the source that lists the endpoints.
+ENDPOINTS = 'endpoints'
 # The properties assumed for engines whose service is not in the configuration.
 UNKNOWN_ENGINE = routes.EngineSpec(slots=1, memory_tokens=0)
 
@@ -78,11 +83,11 @@
     async def read(self) -> Update:
         """Read the whole table."""
 
-    async def follow(self, version: int) -> Update | None:
-        """Wait for changes after a version, and return them.
+    async def follow(self, version: int, wait_seconds: float) -> Update | None:
+        """Return the changes after a version.
 
-        Returns None if the store's history no longer reaches back to the
-        version.
+        Waits for up to so many seconds until there is one. Returns None if the
+        store's history no longer reaches back to the version.
         """
 
 
@@ -305,6 +310,7 @@
         self._activation: defer.Deferred[None] | None = None
         self._sent_at = float('-inf')
         self._pending_call: defer.Deferred[Update | None] | None = None
+        self.source_name = source.name
         cluster_state.reachable[source.name] = False
 
     async def run(self) -> None:
@@ -357,6 +363,22 @@
             self._version = None
             self._pending_call.cancel()
 
+    async def catch_up(self) -> None:
+        """Read the endpoints that have changed until now.
+
+        This is independent of the call that waits for changes, and works also
+        while this host does not follow the store.
+
+        Raises :class:`~cairnloom.exceptions.PlatformError`.
+        """
+        cluster = self._cluster_state
+        update = None
+        if cluster.directory.loaded:
+            update = await self._source.follow(cluster.directory.version, 0.0)
+        if update is None or update.era != cluster.era:
+            update = await self._source.read()
+        cluster.apply_update(update, self._reactor.seconds())
+
     async def _back_off(self) -> None:
         delay = self._retry_delay * random.uniform(0.5, 1.0)
         self._retry_delay = min(self.max_retry_delay, 2 * self._retry_delay)
@@ -383,7 +405,7 @@
     async def _follow(self, version: int) -> Update | None:
         self._sent_at = self._reactor.seconds()
         self._pending_call = defer.Deferred.fromCoroutine(
-            self._source.follow(version)
+            self._source.follow(version, FEED_WAIT_SECONDS)
         )
         try:
             return await self._pending_call
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -173,6 +173,7 @@
             self._members,
             self._peers,
             own_scheduler_client.report_stream,
+            self._read_versions,
         )
         self._stream_origins.on_mixed = self._report_streams
         own_announcements = announcements.Announcements(
@@ -512,15 +513,27 @@
         )
         self._hub_sync.queue_unknown_hosts(host_registration.unknown_hosts)
         host_registration.unknown_hosts = []
-        if self._members.is_hub():
+        is_connected = self._host.cluster_state.is_store_reachable()
+        if self._members.is_hub() and is_connected:
             await self._keep_version_record()
 
+    async def _read_versions(self) -> bool:
+        """Read from the store which software versions there are until now."""
+        try:
+            for follower in self._followers:
+                if follower.source_name == cluster_state.ENDPOINTS:
+                    await follower.catch_up()
+        except exceptions.PlatformError as fault:
+            logs.log_event('not_current', reason=str(fault))
+            return False
+        self._stream_origins.record.forget_row()
+        await self._keep_version_record()
+        return self._stream_origins.record.is_read()
+
     async def _keep_version_record(self) -> None:
         host, cluster = self._host, self._host.cluster_state
         store_ahead, era = host.clock.store_ahead, cluster.era
-        if store_ahead is None or era is None:
-            return
-        if not (cluster.is_store_reachable() and cluster.directory.loaded):
+        if store_ahead is None or era is None or not cluster.directory.loaded:
             return
         record = self._stream_origins.record
         observation = version_records.Observation(
--- a/src/cairnloom/entry/stream_origins.py
+++ b/src/cairnloom/entry/stream_origins.py
@@ -7,8 +7,11 @@
 """
 
 from typing import Any
+from typing import Awaitable
 from typing import Callable
 
+from twisted.internet import defer
+
 from .. import exceptions
 from ..routing import instances
 from ..routing import stream_versions
@@ -33,8 +36,10 @@
 class StreamOrigins:
     """The versions that began streams, as this host and the hubs know them.
 
-    ``report`` sends a report to hubs. ``on_mixed`` is called with the name of
-    a service of which endpoints of a second version have appeared.
+    ``report`` sends a report to hubs. ``catch_up`` reads from the store what
+    has changed until now, and returns whether it could. ``on_mixed`` is called
+    with the name of a service of which endpoints of a second version have
+    appeared.
     """
 
     def __init__(
@@ -44,12 +49,14 @@
         membership: members.Members,
         peer_client: peers.PeerClient,
         report: Callable[[stream_versions.StreamReport], None],
+        catch_up: Callable[[], Awaitable[bool]],
     ) -> None:
         self._reactor = reactor
         self._cluster_state = cluster
         self._members = membership
         self._peers = peer_client
         self._report = report
+        self._confirmation = _Confirmation(reactor, catch_up)
         self._versions = stream_versions.StreamVersions()
         self._history = stream_versions.VersionHistory()
         self._uniform_services: set[str] = set()
@@ -57,11 +64,18 @@
             membership.own_row.owner, self._history
         )
         self.on_mixed: Callable[[str], None] = lambda service: None
+        self._host_count = 0
+        self._lost_host_at = float('-inf')
 
     def watch(self) -> None:
         """Record which versions serve now, and drop old streams."""
-        self._versions.remove_expired(self._reactor.seconds())
+        now = self._reactor.seconds()
+        self._versions.remove_expired(now)
         self._update_history()
+        host_count = self._members.count()
+        if host_count < self._host_count:
+            self._lost_host_at = now
+        self._host_count = host_count
 
     def _update_history(self) -> None:
         directory = self._cluster_state.directory
@@ -110,21 +124,29 @@
     async def find(self, request: requests.Request) -> str | None:
         """Return the version that began the stream that a request takes up.
 
-        Returns None if neither this host nor the hubs know it.
+        Returns None if neither this host nor the hubs know it. If it was not
+        reported, as there seemed to be one version only, this host first reads
+        what has changed in the store: it may have been suspended, or cut off
+        without having noticed it yet.
         """
         query = messages.StreamQuery(_make_key(request), request.service.name)
         answers = [self.answer(query)]
         version = answers[0].version
+        is_current = False
         if version is None:
             hubs = self._list_hubs()
             answers += await self._ask_hubs(hubs, query)
-            version = self._choose_version(answers, len(hubs))
+            if not any(answer.version for answer in answers):
+                is_current = await self._confirmation.confirm()
+                answers[0] = self.answer(query)
+            version = self._choose_version(answers, len(hubs), is_current)
         logs.log_event(
             'stream_taken_up',
             request=request.metadata.request_id,
             begun_by=request.metadata.resumed,
             software=version,
             answers=len(answers),
+            current=is_current,
         )
         return version
 
@@ -169,31 +191,61 @@
         return answers
 
     def _choose_version(
-        self, answers: list[messages.StreamReply], asked_hubs: int
+        self,
+        answers: list[messages.StreamReply],
+        asked_hubs: int,
+        is_current: bool,
     ) -> str | None:
         """Return the version on which this host and the hubs agree.
 
         The stream may also have begun at the only version that they have seen.
-        That does not hold for hosts that were cut off from the others and from
-        the store.
+        That holds only if this host ``is_current`` by the store. While the
+        store can't be reached, all hubs have to answer, and no host may have
+        been lost.
         """
         versions = {answer.version for answer in answers} - {None}
         if not versions:
             versions = {answer.only_version for answer in answers} - {None}
             seen = {version for answer in answers for version in answer.seen}
-            now = self._reactor.seconds()
-            all_hubs_answered = len(answers) > asked_hubs
+            seconds_since_loss = self._reactor.seconds() - self._lost_host_at
             has_lost_hosts = (
-                self._members.count() < self._members.highest_count(now)
-            )
-            is_current = any(answer.fresh for answer in answers) or (
-                all_hubs_answered and not has_lost_hosts
+                seconds_since_loss < stream_versions.STREAM_SECONDS
+                or self._members.count() < self._host_count
             )
-            if versions != seen or not is_current:
+            all_hubs_answered = len(answers) > asked_hubs
+            if versions != seen or not (
+                is_current or (all_hubs_answered and not has_lost_hosts)
+            ):
                 return None
         return versions.pop() if len(versions) == 1 else None
 
 
+class _Confirmation:
+    """Lets requests that arrive close together share a call to the store."""
+
+    def __init__(
+        self, reactor: Any, catch_up: Callable[[], Awaitable[bool]]
+    ) -> None:
+        self._reactor = reactor
+        self._catch_up = catch_up
+        self._lock = defer.DeferredLock()
+        self._began_at = float('-inf')
+        self._succeeded = False
+
+    async def confirm(self) -> bool:
+        """Return whether a call that began after this one has succeeded."""
+        asked_at = self._reactor.seconds()
+        await self._lock.acquire()
+        try:
+            if self._began_at < asked_at:
+                self._began_at = self._reactor.seconds()
+                self._succeeded = False
+                self._succeeded = await self._catch_up()
+            return self._succeeded
+        finally:
+            self._lock.release()
+
+
 def _make_key(request: requests.Request) -> str:
     metadata = request.metadata
     return stream_versions.make_key(
--- a/src/cairnloom/entry/version_records.py
+++ b/src/cairnloom/entry/version_records.py
@@ -74,6 +74,14 @@
             return self._write_if_changed(self._row, observation)
         return [actions.Read(KEY)]
 
+    def forget_row(self) -> None:
+        """Have the next round read the row again."""
+        self._row = None
+
+    def is_read(self) -> bool:
+        """Return whether the row has been read since it was forgotten."""
+        return self._row is not None
+
     def step(self, event: events.TableEvent) -> list[actions.TableAction]:
         """Process the result of a call; return the next actions."""
         observation = self._observation
--- a/src/cairnloom/platform/sources.py
+++ b/src/cairnloom/platform/sources.py
@@ -29,12 +29,16 @@
         """Read the row."""
         return self._decode(await self._store.list_rows(configuration.TABLE))
 
-    async def follow(self, version: int) -> cluster_state.Update | None:
+    async def follow(
+        self, version: int, wait_seconds: float
+    ) -> cluster_state.Update | None:
         """Wait for a change of the row.
 
         Returns None if the store has dropped the history since the version.
         """
-        listing = await self._store.follow(configuration.TABLE, version)
+        listing = await self._store.follow(
+            configuration.TABLE, version, wait_seconds
+        )
         if isinstance(listing, store.HistoryLost):
             return None
         return self._decode(listing)
@@ -67,7 +71,7 @@
 class DirectorySource:
     """Source of the rows in which endpoints register themselves."""
 
-    name = 'endpoints'
+    name = cluster_state.ENDPOINTS
 
     def __init__(self, store_client: store.StoreClient) -> None:
         self._store = store_client
@@ -76,12 +80,16 @@
         """Read every row."""
         return self._decode(await self._store.list_rows(directory.TABLE), True)
 
-    async def follow(self, version: int) -> cluster_state.Update | None:
+    async def follow(
+        self, version: int, wait_seconds: float
+    ) -> cluster_state.Update | None:
         """Wait for rows that change.
 
         Returns None if the store has dropped the history since the version.
         """
-        listing = await self._store.follow(directory.TABLE, version)
+        listing = await self._store.follow(
+            directory.TABLE, version, wait_seconds
+        )
         if isinstance(listing, store.HistoryLost):
             return None
         return self._decode(listing, False)
--- a/src/cairnloom/platform/store.py
+++ b/src/cairnloom/platform/store.py
@@ -34,11 +34,9 @@
 # A call normally takes some milliseconds. A longer one means an outage or a
 # lost reply.
 TIMEOUT_SECONDS = 1.0
-# How long the store may hold a call that waits for changes. This also bounds
-# how long it takes to notice a call that was lost in an outage.
-FEED_WAIT_SECONDS = 10.0
-# The call times out this much later than the wait ends. Until then, a dead
-# connection looks the same as one on which no change was sent.
+# A call that waits for changes times out this much later than the wait ends.
+# Until then, a dead connection looks the same as one on which no change was
+# sent.
 FEED_SLACK_SECONDS = 1.5
 # A slower reply gives too inexact a measurement of the store's clock.
 CLOCK_ROUND_TRIP_SECONDS = 0.05
@@ -190,10 +188,12 @@
                 return dataclasses.replace(listing, rows=raw_rows)
             start = raw_rows[-1].key + '\x01'
 
-    async def follow(self, table: str, version: int) -> Listing | HistoryLost:
+    async def follow(
+        self, table: str, version: int, wait_seconds: float
+    ) -> Listing | HistoryLost:
         """Wait until rows of a table have changed after a version.
 
-        The listing is empty if none has changed in ``FEED_WAIT_SECONDS``.
+        The listing is empty if none has changed in ``wait_seconds``.
 
         Raises :class:`~cairnloom.exceptions.PlatformError`.
         """
@@ -201,13 +201,13 @@
             {
                 'Table': table,
                 'after': version,
-                'WaitMs': int(FEED_WAIT_SECONDS * 1000),
+                'WaitMs': int(wait_seconds * 1000),
             }
         )
         reply = await self._call(
             'GET',
             '/v1/rows-feed?' + query,
-            timeout=FEED_WAIT_SECONDS + FEED_SLACK_SECONDS,
+            timeout=wait_seconds + FEED_SLACK_SECONDS,
         )
         if reply.status == 410:
             return HistoryLost()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -454,10 +454,10 @@
         make_reply(200, {'Rows': [removed | {'Removed': True}], 'Ver': 8}),
         client.Reply(410, b''),
     )
-    result = run_coroutine(adapter.follow('servers', 5))
+    result = run_coroutine(adapter.follow('servers', 5, 10.0))
     assert result.rows == [store.RawRow('k', 8, None)]
     assert isinstance(
-        run_coroutine(adapter.follow('servers', 5)), store.HistoryLost
+        run_coroutine(adapter.follow('servers', 5, 10.0)), store.HistoryLost
     )
 
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -114,6 +114,8 @@
         self.store_up = True
         self.version = 0
         self.engines = {}
+        # When each version was listed last, as hubs record it in the store.
+        self.record = {}
         self.in_flight = []
         self.hosts = [Host(self, number) for number in range(HOST_COUNT)]
 
@@ -159,8 +161,13 @@
             name, SERVICE, '127.0.0.1', 1, 'a', software=software
         )
         self.engines[name] = (self.version, engine)
+        self.update_record()
         return engine
 
+    def update_record(self):
+        for _, engine in self.engines.values():
+            self.record[engine.software] = self.now
+
     def take_up(self, host, stream):
         """Return the version at which a host goes on with a stream."""
         request = stream.make_request(resumed=True)
@@ -186,7 +193,7 @@
         self.cluster = cluster_state.ClusterState()
         self.cluster.reachable['endpoints'] = True
         self.origins = world.origins_class(
-            world, self.cluster, self, self, self.report
+            world, self.cluster, self, self, self.report, self.catch_up
         )
         self.origins.on_mixed = self.report_streams
 
@@ -205,6 +212,13 @@
             raise exceptions.PlatformError('no answer')
         return target.origins.answer(message)
 
+    async def catch_up(self):
+        if self.cut or not self.world.store_up:
+            return False
+        self.world.sync(self)
+        self.origins._history.merge(SERVICE, self.world.now, self.world.record)
+        return True
+
     def report(self, report):
         if self.older_build:
             return
@@ -287,8 +301,12 @@
             return
         hub.origins.receive(report)
 
-    @stateful.rule(number=state_machines.INDEX, host=state_machines.INDEX)
-    def take_up(self, number, host):
+    @stateful.rule(
+        number=state_machines.INDEX,
+        host=state_machines.INDEX,
+        synced=st.booleans(),
+    )
+    def take_up(self, number, host, synced):
         target = self.pick_host(host)
         open_streams = [
             stream
@@ -298,9 +316,11 @@
         if not open_streams or target.older_build:
             return
         stream = open_streams[number % len(open_streams)]
-        # Hosts that are not cut off learn of an engine before a stream that
-        # it began is taken up.
-        self.world.sync_all()
+        # The hubs learn of an engine before a stream that it began is taken
+        # up. The host itself may not know it, as after a suspension.
+        for other in self.world.hosts:
+            if synced or other is not target:
+                self.world.sync(other)
         version = self.world.take_up(target, stream)
         assert version in (None, stream.version), 'wrong version'
 
@@ -310,11 +330,37 @@
         self.world.hosts[index].alive = False
         self.world.hosts[index] = Host(self.world, index, older_build)
 
-    @stateful.rule(number=state_machines.INDEX, cut=st.booleans())
-    def cut_off(self, number, cut):
+    @stateful.rule(
+        number=state_machines.INDEX, cut=st.booleans(), noticed=st.booleans()
+    )
+    def cut_off(self, number, cut, noticed):
+        """Cut a host off, which it may not have noticed yet."""
         host = self.pick_host(number)
         host.cut = cut
-        host.cluster.reachable['endpoints'] = self.world.store_up and not cut
+        if noticed:
+            host.cluster.reachable['endpoints'] = (
+                self.world.store_up and not cut
+            )
+
+    @stateful.rule(number=state_machines.INDEX, version=st.integers(1, 2))
+    def release_unobserved(self, number, version):
+        """Add an engine while a host is cut off and has not noticed it."""
+        self.pass_time(stream_versions.STREAM_SECONDS)
+        host = self.pick_host(number)
+        host.cut = True
+        engine = self.world.add_engine('v%d' % version)
+        self.world.watch_all()
+        other = self.pick_host(number + 1)
+        if engine in other.cluster.directory.ready(SERVICE):
+            stream = Stream(
+                's%d' % len(self.streams),
+                engine.software,
+                self.world.now,
+                other,
+            )
+            other.origins.note_begun(stream.make_request(), engine)
+            other.streams.append((stream, engine))
+            self.streams.append(stream)
 
     @stateful.rule(up=st.booleans())
     def set_store(self, up):
@@ -327,17 +373,26 @@
     def pass_time(self, seconds):
         self.world.watch_all()
         self.world.now += seconds
+        self.world.update_record()
         self.world.watch_all()
 
 
 class GuessingOrigins(Origins):
     """Takes the only version that it sees for that of any stream."""
 
-    def _choose_version(self, answers, asked_hubs):
+    def _choose_version(self, answers, asked_hubs, is_current):
         seen = set(answers[0].seen)
         return seen.pop() if len(seen) == 1 else None
 
 
+class TrustingOrigins(Origins):
+    """Takes its connection to the store for good until it finds it lost."""
+
+    def _choose_version(self, answers, asked_hubs, is_current):
+        is_current = answers[0].fresh
+        return super()._choose_version(answers, asked_hubs, is_current)
+
+
 class EarlyReportOrigins(stream_origins.StreamOrigins):
     """Reports a stream before the endpoint has begun it."""
 
@@ -432,11 +487,35 @@
     assert world.take_up(host, stream) == 'v1'
 
 
+@pytest.mark.parametrize('is_cut', [False, True])
+def test_host_out_of_step_does_not_take_the_old_version_for_the_only_one(
+    is_cut,
+):
+    """Guards against joining versions at a host that stood still (ORDER)."""
+    world = World()
+    world.add_engine('v1')
+    world.watch_all()
+    world.now += stream_versions.STREAM_SECONDS
+    world.watch_all()
+    late, *others = world.hosts[::-1]
+    engine = world.add_engine('v2')
+    for host in others:
+        world.sync(host)
+        host.origins.watch()
+    stream = begin_stream(world, others[0], engine)
+    # The reports are lost with the hubs that got them.
+    late.cut = is_cut
+    assert late.cluster.is_store_reachable()
+    assert world.take_up(late, stream) is None
+
+
 def test_stream_is_never_taken_up_at_another_version():
     state_machines.run(StreamMachine, 400, 40)
 
 
-@pytest.mark.parametrize('faulty_class', [GuessingOrigins, EarlyReportOrigins])
+@pytest.mark.parametrize(
+    'faulty_class', [GuessingOrigins, TrustingOrigins, EarlyReportOrigins]
+)
 def test_faulty_origins_are_caught(faulty_class):
     class FaultyWorld(World):
         origins_class = faulty_class
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -11,6 +11,7 @@
 import pytest
 
 from cairnloom.entry import version_records
+from cairnloom import exceptions
 from cairnloom.platform import store
 from cairnloom.routing import instances
 from cairnloom.routing import stream_versions
@@ -300,6 +301,39 @@
     assert deployment.resume_stream(stream, host=1).status == 503
 
 
+def test_host_that_stood_still_does_not_join_versions(deploy):
+    """Guards against a release that one host has missed (ORDER)."""
+    deployment = deploy(make_engine('e0', 'v1'), hosts=3)
+    for program in deployment.programs:
+        pretend_to_have_watched(program)
+    pretend_to_have_recorded(deployment)
+    late = deployment.programs[2]
+
+    async def do_nothing(*_):
+        raise exceptions.PlatformError('cut off')
+
+    late._hub_sync.run_round = late._peers.call = do_nothing
+    for follower in late._followers:
+        atlas_deployment.run_in_reactor(follower.stop)
+    reachable = late._host.cluster_state.reachable
+    reachable.update(dict.fromkeys(reachable, True))
+    deployment.add_endpoint(make_engine('e1', 'v2', faults=['tear'] * 9))
+    atlas_deployment.wait_for(
+        lambda: deployment.programs[0]._host.cluster_state.directory.find('e1')
+    )
+    deployment.remove_endpoint('e0')
+    atlas_deployment.wait_for(
+        lambda: not deployment.programs[0]._host.cluster_state.directory.find(
+            'e0'
+        )
+    )
+    stream = deployment.begin_stream()
+    deployment.add_endpoint(make_engine('e2', 'v1'))
+    answer = deployment.resume_stream(stream, host=2)
+    assert answer.status == 503
+    assert deployment.list_versions()[stream[0]] == {'v2'}
+
+
 def test_new_host_learns_from_hubs_that_there_was_one_version(deploy):
     engines = [make_engine('e%d' % number, 'v1') for number in range(3)]
     deployment = deploy(*engines, hosts=3)
