tests: find the faulty stream origins by rules of their own

test_faulty_origins_are_caught[EarlyReportOrigins] failed once in a whole run (not found in 3,000 examples) and passed in two runs before, after the machine had got rules for releases that a host misses. No check or bound changed; the two new machines also run on the real code.

--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -342,6 +342,24 @@
                 self.world.store_up and not cut
             )
 
+    @stateful.rule(up=st.booleans())
+    def set_store(self, up):
+        self.world.sync_all()
+        self.world.store_up = up
+        for host in self.world.hosts:
+            host.cluster.reachable['endpoints'] = up and not host.cut
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 0.5, 2.0, 7.0, 31.0]))
+    def pass_time(self, seconds):
+        self.world.watch_all()
+        self.world.now += seconds
+        self.world.update_record()
+        self.world.watch_all()
+
+
+class ReleaseMachine(StreamMachine):
+    """Releases are missed by one host."""
+
     @stateful.rule(number=state_machines.INDEX, version=st.integers(1, 2))
     def release_unobserved(self, number, version):
         """Add an engine while a host is cut off and has not noticed it."""
@@ -362,19 +380,23 @@
             other.streams.append((stream, engine))
             self.streams.append(stream)
 
-    @stateful.rule(up=st.booleans())
-    def set_store(self, up):
-        self.world.sync_all()
-        self.world.store_up = up
-        for host in self.world.hosts:
-            host.cluster.reachable['endpoints'] = up and not host.cut
 
-    @stateful.rule(seconds=st.sampled_from([0.1, 0.5, 2.0, 7.0, 31.0]))
-    def pass_time(self, seconds):
-        self.world.watch_all()
-        self.world.now += seconds
-        self.world.update_record()
+class RefusalMachine(StreamMachine):
+    """Endpoints refuse streams, and hosts are lost soon after the next one."""
+
+    @stateful.rule(number=state_machines.INDEX)
+    def lose_host_after_refusal(self, number):
+        self.add_engine(number % 2)
+        self.add_engine(1 - number % 2)
         self.world.watch_all()
+        in_flight_count = len(self.world.in_flight)
+        last_engines = [len(self.world.engines) - 1 - step for step in (0, 1)]
+        self.begin(number, last_engines)
+        # Only the first report arrives.
+        del self.world.in_flight[in_flight_count + 1 :]
+        for _ in self.world.in_flight[in_flight_count:]:
+            self.deliver(in_flight_count, False)
+        self.kill_and_restart(number, False)
 
 
 class GuessingOrigins(Origins):
@@ -513,14 +535,27 @@
     state_machines.run(StreamMachine, 400, 40)
 
 
+def test_stream_is_never_joined_at_a_host_that_missed_a_release():
+    state_machines.run(ReleaseMachine)
+
+
+def test_stream_is_never_joined_after_a_refusal():
+    state_machines.run(RefusalMachine)
+
+
 @pytest.mark.parametrize(
-    'faulty_class', [GuessingOrigins, TrustingOrigins, EarlyReportOrigins]
+    'faulty_class, machine',
+    [
+        (GuessingOrigins, ReleaseMachine),
+        (EarlyReportOrigins, RefusalMachine),
+        (TrustingOrigins, ReleaseMachine),
+    ],
 )
-def test_faulty_origins_are_caught(faulty_class):
+def test_faulty_origins_are_caught(faulty_class, machine):
     class FaultyWorld(World):
         origins_class = faulty_class
 
-    class FaultyMachine(StreamMachine):
+    class FaultyMachine(machine):
         world_class = FaultyWorld
 
     failure = state_machines.expect_failure(FaultyMachine)
