Bound all fields of the rows of endpoints

Reported by another operator: one odd row ended the machines that read the list, or stopped them from following it.

Ruled out: processes that end, deep nesting, numbers of many digits.

Why it works: values out of range are rejected at the border, a follower logs what it can't apply and reads the list again, and the daemons leave out single entries.

--- a/src/cairnloom/backing/services.py
+++ b/src/cairnloom/backing/services.py
@@ -5,24 +5,42 @@
 """
 
 import dataclasses
+from typing import Annotated
 from typing import Any
 from typing import Literal
+from typing import TypeVar
 from urllib import parse
 
+import pydantic
+
 from .. import exceptions
 from ..coordination import usage
 from ..protocol import client
 from ..protocol import codec
+from ..runtime import logs
 
 TIMEOUT_SECONDS = 2.0
 
+T = TypeVar('T')
+
+
+def _check_url(text: str) -> str:
+    """Return a URL with a host and a port, if it has one that exists."""
+    parts = parse.urlsplit(text)
+    if not text.isprintable() or not parts.hostname or parts.port == 0:
+        raise ValueError('%r is no URL with a host' % text)
+    return text
+
+
+Url = Annotated[str, pydantic.AfterValidator(_check_url)]
+
 
 @dataclasses.dataclass(frozen=True)
 class HostEntry:
     """A host in the platform's list, which may be out of date."""
 
     host: str
-    address: str
+    address: Url
     state: Literal['live', 'leaving'] = 'live'
 
 
@@ -46,7 +64,7 @@
     """
 
     endpoint: str
-    address: str
+    address: Url
     kind: Literal['engine', 'service']
     failure_domain: str
     model: str = ''
@@ -55,7 +73,7 @@
     state: Literal['starting', 'running', 'leaving'] = 'running'
     order_id: str = ''
     software: str = ''
-    born: int = 0
+    born: Annotated[int, pydantic.Field(ge=0, lt=2**53)] = 0
 
     @property
     def run_key(self) -> str:
@@ -70,6 +88,16 @@
     endpoints: list[EndpointEntry]
 
 
+@dataclasses.dataclass(frozen=True)
+class _UncheckedHosts:
+    hosts: list[Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class _UncheckedEndpoints:
+    endpoints: list[Any]
+
+
 @dataclasses.dataclass(frozen=True)
 class StartOrder:
     """An order to the platform to start one more endpoint.
@@ -134,6 +162,19 @@
                 '%s: %s' % (self.name, fault)
             ) from fault
 
+    def _decode_entries(
+        self, entry_type: type[T], values: list[Any]
+    ) -> list[T]:
+        entries = []
+        for value in values:
+            try:
+                entries.append(codec.decode_value(entry_type, value))
+            except exceptions.ProtocolError as fault:
+                logs.log_event(
+                    'entry_unreadable', source=self.name, reason=str(fault)
+                )
+        return entries
+
 
 class ObjectStoreClient(_ServiceClient):
     """Client of the object store."""
@@ -155,8 +196,9 @@
     name = 'hosts'
 
     async def fetch(self) -> HostList:
-        """Read the list."""
-        return await self._fetch('', HostList)
+        """Read the list; entries that can't be read are left out."""
+        unchecked = await self._fetch('', _UncheckedHosts)
+        return HostList(self._decode_entries(HostEntry, unchecked.hosts))
 
 
 class EndpointOrderingClient(_ServiceClient):
@@ -165,8 +207,14 @@
     name = 'ordering'
 
     async def fetch(self) -> EndpointList:
-        """Read the list of endpoints."""
-        return await self._fetch('', EndpointList)
+        """Read the list of endpoints.
+
+        Entries that can't be read are left out.
+        """
+        unchecked = await self._fetch('', _UncheckedEndpoints)
+        return EndpointList(
+            self._decode_entries(EndpointEntry, unchecked.endpoints)
+        )
 
     async def send(self, order: PlatformOrder) -> None:
         """Send a start or stop order, without a retry."""
--- a/src/cairnloom/entry/cluster_state.py
+++ b/src/cairnloom/entry/cluster_state.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import random
+import traceback
 from typing import Any
 from typing import Callable
 from typing import Protocol
@@ -331,6 +332,16 @@
             except defer.CancelledError:
                 if self._stopped:
                     raise
+            except Exception as fault:
+                # An update that can't be applied must not end the following.
+                logs.log_event(
+                    'follower_failed',
+                    source=self._source.name,
+                    reason=repr(fault),
+                    where=traceback.format_exc()[-600:],
+                )
+                self._version = None
+                await self._back_off()
 
     def set_active(self, active: bool) -> None:
         """Resume or suspend following."""
--- a/src/cairnloom/platform/directory.py
+++ b/src/cairnloom/platform/directory.py
@@ -3,6 +3,8 @@
 The fields of ``_Entry`` are the JSON keys of such a row.
 """
 
+import ipaddress
+from typing import Annotated
 from typing import Any
 
 import orjson
@@ -13,6 +15,17 @@
 from . import settings
 
 TABLE = 'servers'
+# Longer times than some years, and later starts, come from no endpoint.
+MAX_MILLISECONDS = 1e12
+MAX_SLOTS = 1_000_000
+
+_Text = Annotated[
+    str,
+    pydantic.StringConstraints(max_length=200, pattern=r'^[^\x00-\x1f\x7f]*$'),
+]
+_Milliseconds = Annotated[
+    float, pydantic.Field(ge=-MAX_MILLISECONDS, le=MAX_MILLISECONDS)
+]
 
 
 class _JsonObject(pydantic.BaseModel):
@@ -20,28 +33,28 @@
 
 
 class _ModelEntry(_JsonObject):
-    Name: str
+    Name: _Text
 
 
 class _Entry(_JsonObject):
-    Service: str = pydantic.Field(min_length=1)
-    Address: str
-    Zone: str
-    State: str
+    Service: _Text = pydantic.Field(min_length=1)
+    Address: _Text
+    Zone: _Text
+    State: _Text
     # The version of its software, not of its weights.
-    Version: str = ''
+    Version: _Text = ''
     # All slots of the endpoint, busy or not.
-    Slots: int = 1
+    Slots: int = pydantic.Field(1, ge=0, le=MAX_SLOTS)
     # How much longer it will be slow, because it started recently.
-    ColdRemainingMs: float = 0
-    Stage: str = ''
+    ColdRemainingMs: _Milliseconds = 0
+    Stage: _Text = ''
     Models: list[_ModelEntry] = []
     # Whether the platform may reclaim it at short notice.
     Spot: bool = False
     # Time until it leaves, if it is leaving.
-    leaves_ms: float | None = None
+    leaves_ms: _Milliseconds | None = None
     # When this incarnation started, in Unix milliseconds.
-    born: int = 0
+    born: int = pydantic.Field(0, ge=0, lt=2**53)
 
 
 _STATES: dict[str, Any] = {'ready': 'ready', 'draining': 'leaving'}
@@ -56,6 +69,7 @@
     try:
         entry = _Entry.model_validate(orjson.loads(data))
         address = settings.parse_address(entry.Address)
+        ipaddress.ip_address(address.host)
     except (orjson.JSONDecodeError, pydantic.ValidationError, ValueError):
         return None
     if entry.State not in _STATES:
--- a/src/cairnloom/platform/settings.py
+++ b/src/cairnloom/platform/settings.py
@@ -128,7 +128,8 @@
     Address(host='10.0.0.1', port=80)
     """
     host, colon, port = text.rpartition(':')
-    if not colon or not host or not port.isdecimal():
+    is_number = port.isascii() and port.isdecimal() and len(port) <= 5
+    if not colon or not host or not is_number or not 0 < int(port) < 65536:
         raise ValueError('%r is not an address with a port' % text)
     return settings.Address(host, int(port))
 
