Refuse in a planned stop what can't be answered in time; answer the rest

Cause: nothing compared what a request needs with what is left of the grace, and at its end nobody answered the callers.

Ruled out: new connections (the listener closes early).

The gateway daemon cut requests that outlast timing.drain in the same way; it answers them now. Calls to services could not be ended before their head.

--- a/src/cairnloom/entry/forwarding.py
+++ b/src/cairnloom/entry/forwarding.py
@@ -33,6 +33,8 @@
         self.request = request
         self._host = request.host
         self._caller = request.caller
+        self._task: defer.Deferred[None] | None = None
+        self._ending = False
 
     def start(self) -> defer.Deferred[None]:
         """Start to forward the request.
@@ -42,7 +44,7 @@
         request, host = self.request, self._host
         host.metrics.count('requests', route=request.route.kind)
         host.budget(request.service.name).note_request(request.started_at)
-        task = defer.Deferred.fromCoroutine(self._run())
+        task = self._task = defer.Deferred.fromCoroutine(self._run())
         self._caller.on_disconnect = task.cancel
         time_left = max(
             0.0, request.deadline - request.started_at - ANSWER_SECONDS
@@ -52,6 +54,12 @@
         task.addBoth(lambda _: timer.active() and timer.cancel())
         return task
 
+    def end(self) -> None:
+        """End the request now, because this host stops."""
+        self._ending = True
+        if self._task is not None:
+            self._task.cancel()
+
     async def _run(self) -> None:
         request = self.request
         crash_quarantine = self._host.quarantine
@@ -73,6 +81,9 @@
             outcome = await self._run_plain()
         match outcome:
             case outcomes.Answered():
+                self._host.route_durations.note(
+                    request.route.name, self._host.now() - request.started_at
+                )
                 self._log_end('answered')
             case outcomes.Failed():
                 self._answer_failure(outcome)
@@ -150,11 +161,14 @@
                 kind=reason.type.__name__ if reason.type else '',
                 where=reason.getTraceback()[-600:],
             )
+        if self._ending and not self.request.endpoints_reached:
+            self._refuse('stopping')
+            return
         if self._caller.head_sent:
             self._caller.abort()
         elif not self._caller.ended:
             self._caller.answer(504, [])
-        self._log_end('deadline')
+        self._log_end('stopped' if self._ending else 'deadline')
 
     def _log_end(self, outcome: str, reason: str = '') -> None:
         request = self.request
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -87,9 +87,10 @@
 LOAD_BALANCER_REMOVAL_SECONDS = 2.5
 # How often a host that shuts down checks whether all requests are answered.
 DRAIN_POLL_SECONDS = 0.05
-# Time reserved for sending the last answers before the platform kills the
-# process.
+# Unanswered requests are ended this long before the platform kills the
+# process, and connections are closed EXIT_SECONDS before that.
 LAST_ANSWERS_SECONDS = 0.7
+EXIT_SECONDS = 0.3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -373,29 +374,30 @@
 
         The host first reports that it is not ready. Once the load balancer has
         removed it, it stops accepting connections and finishes open requests.
-        Then it writes its usage. It releases the lease at once.
+        It refuses those that it can't answer in time, and ends the last ones
+        with an answer. Then it writes its usage. It releases the lease at
+        once.
         """
         host = self._host
         started_at = host.now()
+        grace_end = started_at + self._settings.bounds.grace
         host.leaving = True
+        host.stops_at = grace_end - LAST_ANSWERS_SECONDS
         self._members.update_own_row(leaving=True)
         self._listener.begin_closing()
         cluster_state.run_task(self._hand_over_lease())
         await concurrency.sleep(self._reactor, LOAD_BALANCER_REMOVAL_SECONDS)
         self._ports['callers'].stopListening()
-        drain_end = (
-            started_at + self._settings.bounds.grace - LAST_ANSWERS_SECONDS
-        )
-        await self._drain(drain_end)
+        await self._drain(host.stops_at)
+        self._router.end_all()
         for loop in self._loops:
             loop.stop()
         for follower in self._followers:
             follower.stop()
         await self._flush_usage()
         await self._transfer_usage()
-        # Wait for requests that arrived while their connections were being
-        # closed.
-        await self._drain(drain_end)
+        # Requests that are still being received are refused once complete.
+        await self._drain(grace_end - EXIT_SECONDS)
         host.upstream.close()
 
     async def _hand_over_lease(self) -> None:
--- a/src/cairnloom/entry/request_router.py
+++ b/src/cairnloom/entry/request_router.py
@@ -17,6 +17,8 @@
 # After this time, callers of a host that is still starting should retry. A
 # host loads its configuration within this time.
 STARTUP_RETRY_SECONDS = 0.5
+# After this time, callers of a host that stops should retry, at another one.
+STOPPING_RETRY_SECONDS = 0.1
 
 
 class RequestRouter:
@@ -32,6 +34,11 @@
             request_forwarding.request for request_forwarding in self.in_flight
         ]
 
+    def end_all(self) -> None:
+        """End the requests in progress, each with an answer."""
+        for request_forwarding in list(self.in_flight):
+            request_forwarding.end()
+
     def serve(self, caller: callers.IncomingRequest) -> None:
         """Serve one request. The caller always gets an answer."""
         host = self._host
@@ -66,11 +73,36 @@
         request = requests.Request(
             self._host, caller, metadata, route, service, team
         )
+        if not self._can_be_answered(request):
+            self._refuse_stopping(request)
+            return
         request_forwarding = forwarding.Forwarding(request)
         self.in_flight.add(request_forwarding)
         done = request_forwarding.start()
         done.addBoth(lambda _: self.in_flight.discard(request_forwarding))
 
+    def _can_be_answered(self, request: requests.Request) -> bool:
+        """Return whether a request will be answered before the host stops.
+
+        Without experience of its route, it may take all of its time.
+        """
+        durations = self._host.route_durations
+        seconds_left = request.deadline - request.started_at
+        estimate = durations.estimate(request.route.name)
+        if estimate is not None:
+            seconds_left = min(seconds_left, estimate)
+        return request.started_at + seconds_left <= self._host.stops_at
+
+    def _refuse_stopping(self, request: requests.Request) -> None:
+        self._host.metrics.count('refused', reason='stopping')
+        logs.log_event(
+            'refused', request=request.metadata.request_id, reason='stopping'
+        )
+        retry_after = self._host.header_codec.write_retry_after(
+            STOPPING_RETRY_SECONDS
+        )
+        request.caller.answer(503, [retry_after])
+
     def _refuse_unready(
         self, caller: callers.IncomingRequest, metadata: work.RequestMetadata
     ) -> None:
--- a/src/cairnloom/entry/state.py
+++ b/src/cairnloom/entry/state.py
@@ -9,6 +9,7 @@
 from ..admission import budgets
 from ..coordination import usage
 from ..routing import crashing_parts
+from ..routing import durations
 from ..routing import endpoint_stats
 from ..routing import exchange
 from ..routing import instances
@@ -126,7 +127,8 @@
 
     ``store_recovered_at`` is when the store last recovered from an outage.
     ``adopted_usage`` holds the usage of hosts that left before they had
-    written it.
+    written it. Once the host is ``leaving``, ``stops_at`` is when it ends the
+    requests that it has not answered.
     """
 
     settings: settings.HostSettings
@@ -152,6 +154,10 @@
     host_count: int = 1
     store_recovered_at: float = float('-inf')
     leaving: bool = False
+    stops_at: float = float('inf')
+    route_durations: durations.RouteDurations = dataclasses.field(
+        default_factory=durations.RouteDurations
+    )
     adopted_usage: list[usage.UsageAccumulator] = dataclasses.field(
         default_factory=list
     )
--- a/src/cairnloom/gateway/calls.py
+++ b/src/cairnloom/gateway/calls.py
@@ -211,8 +211,8 @@
         # From here on, bytes may have been sent, so the request may have run.
         # Only a failure to connect makes it certain that nothing was sent.
         self._request.advance(lifecycle.Stage.DISPATCHED)
-        try:
-            reply = await self._state.http.open(
+        open_deferred = defer.Deferred.fromCoroutine(
+            self._state.http.open(
                 http_request.method,
                 endpoint_choice.address + http_request.target,
                 http_request.body,
@@ -220,6 +220,20 @@
                 HEAD_TIMEOUT_SECONDS,
                 fresh=not self._retryable,
             )
+        )
+
+        def cancel() -> None:
+            # A call whose caller leaves goes on: its answer may be stored.
+            if self._request.termination is not None:
+                open_deferred.cancel()
+
+        self._request.cancel = cancel
+        try:
+            reply = await open_deferred
+        except defer.CancelledError as fault:
+            raise exceptions.EndpointError(
+                'ended early', may_have_run=True
+            ) from fault
         except exceptions.TransportError as fault:
             self._state.endpoint_view.note_failure(
                 endpoint_choice.endpoint, self._state.now()
--- a/src/cairnloom/gateway/program.py
+++ b/src/cairnloom/gateway/program.py
@@ -24,6 +24,9 @@
 # freshness limit by this much.
 STALE_GRACE_SECONDS = 2.5
 LEAVE_NOTICE_SECONDS = 1.0
+# How long a gateway that stops waits until the answers that end its last
+# requests are sent.
+LAST_ANSWERS_SECONDS = 0.5
 REQUEST_POLL_SECONDS = 0.05
 
 
@@ -94,6 +97,8 @@
             logs.log_event(
                 'cut_at_stop', requests=len(self.frontend.active_requests)
             )
+            self.frontend.active_requests.terminate_all('this host stops')
+            await concurrency.sleep(self._reactor, LAST_ANSWERS_SECONDS)
 
     def _listen(self) -> None:
         host_settings = self._settings
--- a/src/cairnloom/standins/atlas.py
+++ b/src/cairnloom/standins/atlas.py
@@ -268,7 +268,8 @@
     per second that the endpoint names as its limit, if it has one.
     ``software`` is the version of its software, and ``born`` the time of its
     start in Unix milliseconds, left out if 0. ``event_seconds`` is the time
-    between two events of its streams, if it is not EVENT_SECONDS.
+    between two events of its streams, if it is not EVENT_SECONDS, and
+    ``work_seconds`` the time until it answers other requests.
 
     If ``leaving`` is set, all answers say that it is about to shut down.
     ``report_state`` and ``leaves_ms`` stand in its report. While
@@ -299,6 +300,7 @@
     software: str = 'v1'
     born: int = 0
     event_seconds: float | None = None
+    work_seconds: float = 0.0
     leaving: bool = False
     report_state: str = 'ready'
     leaves_ms: int | None = None
@@ -620,6 +622,14 @@
             )
         elif 'text/event-stream' in received.header(b'Accept'):
             self._stream(request, received, fault)
+        elif self._endpoint.work_seconds:
+            self.reactor.callLater(
+                self._endpoint.work_seconds,
+                self._serve,
+                request,
+                received,
+                fault,
+            )
         else:
             self._serve(request, received, fault)
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -511,3 +511,26 @@
         sum(team_counts['requests'] for team_counts in read_billed_counts())
         == 1
     )
+
+
+def test_request_that_outlasts_the_stop_of_its_gateway_gets_an_answer():
+    """Guards against a call that is cut with no answer at a planned stop."""
+    timing = TIMING | {'drain': 0.5}
+    with processes.System(1, timing=timing) as system:
+        system.key = system.configure()
+        put_route(system)
+        system.inject_faults(service_delay_seconds=5.0)
+        replies = []
+        thread = threading.Thread(
+            target=lambda: replies.append(send_order(system, 'host-1', 7)),
+            daemon=True,
+        )
+        thread.start()
+        processes.wait_until(lambda: system.read_record()['runs'])
+        gateway = system.gateways['host-1']
+        gateway.signal(signal.SIGTERM)
+        thread.join(10)
+        assert gateway.popen.wait(20) == 0
+        ((status, _, body),) = replies
+        assert status == 503
+        assert json.loads(body)['error']['run_state'] == 'may-have-run'
