--- a/tests/test_scripts.py
+++ b/tests/test_scripts.py
@@ -92,3 +92,20 @@
         assert getattr(coordination, name).__name__.endswith(name)
     with pytest.raises(AttributeError):
         coordination.nothing
+
+
+def test_sighup_during_the_start_does_not_end_the_process():
+    """Guards against a change of settings while the imports still run."""
+    script = (
+        'import gc, os, runpy, signal\n'
+        'disable = gc.disable\n'
+        'def hang_up():\n'
+        '    os.kill(os.getpid(), signal.SIGHUP)\n'
+        '    disable()\n'
+        'gc.disable = hang_up\n'
+        'runpy.run_path("deploy/entry.py")\n'
+    )
+    result = subprocess.run(
+        [sys.executable, '-c', script], cwd=ROOT, timeout=30
+    )
+    assert result.returncode == 0
