Blame a request for a crash only if its endpoint has ended

Cause: a lost answer was taken for a crash, and an answer to the same request lifted nothing.

Evidence: test_polled_path_is_served_after_lost_answers gets 503 twenty times on the code before, 200 now; test_request_that_may_not_be_repeated_is_not_blamed_for_long is refused for good before, for up to 5 s now. Ruled out: the path itself is not refused, only requests with the same content.

Why it works: until 5 s after a lost connection the request is blamed as before; it stays so if the endpoint could not be reached, or its run is no longer listed. An answer acquits a request of all that came before, and acquittals are passed between hosts, in both front doors.

--- a/src/cairnloom/entry/forwarding.py
+++ b/src/cairnloom/entry/forwarding.py
@@ -81,6 +81,10 @@
             outcome = await self._run_plain()
         match outcome:
             case outcomes.Answered():
+                if not crash_quarantine.is_empty():
+                    crash_quarantine.note_answered(
+                        request.fingerprint(), self._host.now()
+                    )
                 self._host.route_durations.note(
                     request.route.name, self._host.now() - request.started_at
                 )
--- a/src/cairnloom/entry/hubs.py
+++ b/src/cairnloom/entry/hubs.py
@@ -134,7 +134,7 @@
             self._members.note_seen(
                 seen_host.row, now, seen_host.age, heard_directly=False
             )
-        self._host.quarantine.merge(request.marks, now)
+        self._host.quarantine.merge(request.marks, now, request.acquittals)
         self._host.crashing_parts.merge(request.findings, now)
         self._host.announcements.receive(request.leaving, request.me.host, now)
         if request.load is not None:
@@ -174,6 +174,7 @@
             speed=self._host.endpoint_selector.speed.make_report(),
             changes=changed_hosts,
             era=cluster.era,
+            acquittals=self._host.quarantine.list_acquittals(now),
         )
 
     async def _ask_unknown_hosts(self) -> None:
@@ -310,6 +311,7 @@
             limits=limits,
             leaving=host.announcements.list_unreported(hub.owner),
             takes_changes=True,
+            acquittals=host.quarantine.list_acquittals(now),
         )
         if load is None:
             return request
@@ -343,7 +345,7 @@
         )
         if reply.fresh and is_of_latest_era:
             cluster.hub_synced_at = max(cluster.hub_synced_at, sent_at)
-        host.quarantine.merge(reply.marks, now)
+        host.quarantine.merge(reply.marks, now, reply.acquittals)
         host.crashing_parts.merge(reply.findings, now)
         host.rate_limits.merge(reply.limit_reports or [], now)
         if reply.speed is not None:
--- a/src/cairnloom/entry/messages.py
+++ b/src/cairnloom/entry/messages.py
@@ -47,7 +47,8 @@
     directly and ``load`` is the load that it placed. ``leaving`` are runs of
     endpoints that have said to the sender that they leave. ``takes_changes``
     is set if the sender takes changes of the list of hosts; hosts of older
-    builds take the whole list only.
+    builds take the whole list only. ``acquittals`` are the requests that were
+    answered although they were blamed for crashes.
     """
 
     me: members.HostRow
@@ -61,6 +62,9 @@
     limits: int = -1
     leaving: list[str] = dataclasses.field(default_factory=list)
     takes_changes: bool = False
+    acquittals: list[quarantine.Acquittal] = dataclasses.field(
+        default_factory=list
+    )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -104,6 +108,9 @@
     speed: engine_speed.SpeedReport | None = None
     changes: members.HostChanges | None = None
     era: int | None = None
+    acquittals: list[quarantine.Acquittal] = dataclasses.field(
+        default_factory=list
+    )
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/entry/paths.py
+++ b/src/cairnloom/entry/paths.py
@@ -205,6 +205,11 @@
             cluster_state.run_task(self._check(instance, check))
         return await check.wait()
 
+    def has_answered_check(self, instance: instances.Instance) -> bool:
+        """Return whether this host could connect when it last checked."""
+        check = self._checks.get(instance.identity)
+        return check is not None and check.reached
+
     async def probe(self) -> None:
         """Try the broken paths again, and drop what is not needed."""
         now = self._reactor.seconds()
@@ -314,6 +319,7 @@
         at_fault = True
         was_broken = self.is_broken(instance)
         fault = await self.connect(instance, CONNECT_SECONDS)
+        check.reached = fault is None
         if fault is not None and not self._members.is_alone():
             answers = await self._ask_hosts(instance)
             if any(answer.reached for answer in answers):
@@ -466,6 +472,7 @@
     def __init__(self, started_at: float) -> None:
         self.started_at = started_at
         self.done = False
+        self.reached = False
         self._at_fault = False
         self._waiting: list[defer.Deferred[bool]] = []
 
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -20,6 +20,7 @@
 from ..routing import crashing_parts
 from ..routing import endpoint_stats
 from ..routing import exchange
+from ..routing import instances
 from ..routing import quarantine
 from ..routing import rate_limits
 from ..routing import scheduler
@@ -211,7 +212,9 @@
             endpoint_stats=stats,
             endpoint_selector=endpoint_selector,
             exchange=load_exchange,
-            quarantine=quarantine.Quarantine(host_settings.host),
+            quarantine=quarantine.Quarantine(
+                host_settings.host, self._is_running
+            ),
             crashing_parts=parts_that_crash,
             rate_limits=limits,
             own_usage=usage.UsageAccumulator(self._owner),
@@ -480,6 +483,16 @@
         if not is_first:
             self._note_recovery()
 
+    def _is_running(self, run_key: str) -> bool:
+        """Return whether a run of an endpoint is known to run."""
+        host, identity = self._host, instances.parse_run_key(run_key)
+        if identity is None or not host.cluster_state.is_up_to_date(
+            host.now()
+        ):
+            return False
+        listed = host.cluster_state.directory.find(identity[0])
+        return listed is not None and listed.identity == identity
+
     def _report_streams(self, service: str) -> None:
         """Report the streams in progress, which were not reported so far."""
         logs.log_event('versions_mixed', service=service)
--- a/src/cairnloom/entry/requests.py
+++ b/src/cairnloom/entry/requests.py
@@ -235,6 +235,7 @@
                 self.fingerprint(),
                 lost.has_begun_answer,
                 lost.at,
+                self._find_run_key(instance),
             )
         )
         # The first event may be the last thing that an engine sends before it
@@ -245,6 +246,16 @@
             )
             self.host.scheduler_client.report_crash(report)
 
+    def _find_run_key(self, instance: instances.Instance) -> str:
+        """Return the key of a run that may have survived a lost connection.
+
+        It is empty if nobody could connect to it right after that, or if runs
+        of the endpoint can't be told apart.
+        """
+        if instance.born and self.host.paths.has_answered_check(instance):
+            return instance.run_key
+        return ''
+
     def log_failed_attempt(
         self, instance: instances.Instance, outcome: str, reason: str
     ) -> None:
--- a/src/cairnloom/gateway/completions.py
+++ b/src/cairnloom/gateway/completions.py
@@ -190,6 +190,9 @@
             self._release_endpoint(endpoint_choice)
             self._state.reactor.callLater(0, self._admission.process_queue)
         self._note_answered()
+        self._state.quarantine.note_answered(
+            self._fingerprint, self._state.now()
+        )
         self._state.endpoint_view.note_success(
             endpoint_choice.endpoint, self._state.now() - self._sent_at
         )
--- a/src/cairnloom/gateway/gossip.py
+++ b/src/cairnloom/gateway/gossip.py
@@ -206,7 +206,9 @@
         self._state.members.merge(peer_message.members, now)
         peer_id = '%s.%d' % (peer_message.host, peer_message.incarnation)
         self._state.queue.merge(peer_id, peer_message.served)
-        self._state.quarantine.merge(peer_message.marks, now)
+        self._state.quarantine.merge(
+            peer_message.marks, now, peer_message.acquittals
+        )
         self._state.crashing_parts.merge(peer_message.findings, now)
         for run_key in peer_message.leaving:
             self._state.note_leaving(run_key, peer_message.host)
--- a/src/cairnloom/gateway/state.py
+++ b/src/cairnloom/gateway/state.py
@@ -110,6 +110,7 @@
             marks=self.quarantine.list_newest_marks(now),
             findings=self.crashing_parts.list_findings(now),
             leaving=self.endpoint_view.list_leaving(),
+            acquittals=self.quarantine.list_acquittals(now),
         )
 
     def note_answer(
--- a/src/cairnloom/protocol/messages.py
+++ b/src/cairnloom/protocol/messages.py
@@ -26,7 +26,9 @@
     not restarted since then. ``served`` counts the tokens served per class and
     team; ``marks`` are the crash marks of quarantined requests, and
     ``findings`` what the sender knows of prompt parts that crash engines.
-    ``leaving`` are runs of endpoints that have said that they leave.
+    ``leaving`` are runs of endpoints that have said that they leave, and
+    ``acquittals`` requests that were answered although they were blamed for
+    crashes.
     """
 
     host: str
@@ -39,6 +41,9 @@
     marks: list[quarantine.CrashMark]
     findings: crashing_parts.Findings = crashing_parts.Findings()
     leaving: list[str] = dataclasses.field(default_factory=list)
+    acquittals: list[quarantine.Acquittal] = dataclasses.field(
+        default_factory=list
+    )
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/routing/quarantine.py
+++ b/src/cairnloom/routing/quarantine.py
@@ -4,11 +4,16 @@
 endpoints is refused for a while on every host, since hosts share their crash
 marks. When several endpoints of a failure domain crash at once, none of their
 requests is marked, since an outage of the domain is the likely cause.
+
+A broken connection alone is no crash: an answer may have been lost. A request
+stays marked only if the run of its endpoint was found to have ended soon
+after, and an answer to the same request acquits it on all hosts.
 """
 
 import collections
 import dataclasses
 import hashlib
+from typing import Callable
 
 # A request is refused once it may have crashed this many endpoints.
 MIN_CRASHES = 2
@@ -16,7 +21,12 @@
 # Crashes of several endpoints of a failure domain within this time count as an
 # outage of the domain.
 DOMAIN_OUTAGE_SECONDS = 2.0
+# A crashed endpoint is known to have ended within this time: its row is
+# removed, or that of its next run is written.
+EVIDENCE_SECONDS = 5.0
 PROVISIONAL_MARK_SECONDS = 6.0
+# An acquittal is kept for as long as hosts may pass on older marks.
+ACQUITTAL_SECONDS = 30.0
 MARKS_PER_MESSAGE = 32
 MAX_ENTRIES = 4096
 
@@ -43,9 +53,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class BrokenAttempt:
-    """An attempt that broke off because its endpoint crashed.
+    """An attempt whose connection was lost, as after a crash of its endpoint.
 
-    ``answering`` is true if the endpoint had begun to answer it.
+    ``answering`` is true if the endpoint had begun to answer it. ``run_key``
+    names the run of the endpoint, empty if its runs can't be told apart.
     """
 
     endpoint: str
@@ -53,6 +64,15 @@
     fingerprint: str
     answering: bool
     at: float
+    run_key: str = ''
+
+
+@dataclasses.dataclass(frozen=True)
+class Acquittal:
+    """A request that an endpoint has answered ``age`` seconds ago."""
+
+    fingerprint: str
+    age: float
 
 
 def fingerprint(team: str, body: bytes) -> str:
@@ -62,10 +82,22 @@
 
 
 class Quarantine:
-    """Counts the crashes that each request may have caused, on all hosts."""
+    """Counts the crashes that each request may have caused, on all hosts.
 
-    def __init__(self, host: str) -> None:
+    ``is_running`` returns whether a run of an endpoint, given by its key, is
+    still known to run.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        is_running: Callable[[str], bool] = lambda run_key: False,
+    ) -> None:
         self._host = host
+        self._is_running = is_running
+        self._acquitted_at: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
         self._unconfirmed_attempts: collections.deque[BrokenAttempt] = (
             collections.deque(maxlen=MAX_ENTRIES)
         )
@@ -76,18 +108,29 @@
         """Record a broken attempt, before the request is sent again."""
         self._unconfirmed_attempts.append(attempt)
 
+    def note_answered(self, request_fingerprint: str, now: float) -> None:
+        """Record that an endpoint has answered a request.
+
+        What a request that is suspected is blamed for before that was no
+        crash, or not its own.
+        """
+        if not self.is_empty():
+            self._acquit(request_fingerprint, now)
+
     def confirm_marks(self, now: float) -> None:
-        """Mark the requests whose endpoints did not crash in an outage.
+        """Mark the requests whose endpoints have crashed, but in no outage.
 
         Each broken attempt is judged after the time within which an outage
-        would have crashed other endpoints of its failure domain as well.
+        would have crashed other endpoints of its failure domain as well, and
+        within which the end of its endpoint's run becomes known.
         """
+        judged_seconds = max(DOMAIN_OUTAGE_SECONDS, EVIDENCE_SECONDS)
         while (
             self._unconfirmed_attempts
-            and now - self._unconfirmed_attempts[0].at >= DOMAIN_OUTAGE_SECONDS
+            and now - self._unconfirmed_attempts[0].at >= judged_seconds
         ):
             attempt = self._unconfirmed_attempts[0]
-            if self._is_suspect(attempt):
+            if self._is_suspect(attempt) and not self._has_survived(attempt):
                 self._mark_request(attempt)
             self._unconfirmed_attempts.popleft()
         self._drop_old_marks(now)
@@ -138,17 +181,65 @@
         ]
         return marks[:MARKS_PER_MESSAGE]
 
-    def merge(self, marks: list[CrashMark], now: float) -> None:
-        """Merge the marks of a peer."""
+    def list_acquittals(self, now: float) -> list[Acquittal]:
+        """Return the newest acquittals, to send to peers."""
+        newest = list(self._acquitted_at.items())[-MARKS_PER_MESSAGE:]
+        return [
+            Acquittal(request_fingerprint, now - acquitted_at)
+            for request_fingerprint, acquitted_at in newest
+        ]
+
+    def merge(
+        self,
+        marks: list[CrashMark],
+        now: float,
+        acquittals: list[Acquittal] | None = None,
+    ) -> None:
+        """Merge the marks and the acquittals of a peer."""
+        for acquittal in acquittals or ():
+            if acquittal.age < ACQUITTAL_SECONDS:
+                self._acquit(acquittal.fingerprint, now - acquittal.age)
         for mark in marks:
             key = (mark.fingerprint, mark.crash_id)
+            crashed_at = now - mark.age
+            acquitted_at = self._acquitted_at.get(
+                mark.fingerprint, float('-inf')
+            )
             if (
                 key not in self._marks
                 and mark.age < mark.get_lifetime_seconds()
+                and crashed_at > acquitted_at
             ):
-                self._marks[key] = (mark, now - mark.age)
+                self._marks[key] = (mark, crashed_at)
         self._drop_old_marks(now)
 
+    def _acquit(self, request_fingerprint: str, at: float) -> None:
+        """Drop what a request is blamed for up to a time."""
+        blamed_marks = [
+            key
+            for key, (_, crashed_at) in self._marks.items()
+            if key[0] == request_fingerprint and crashed_at <= at
+        ]
+        for key in blamed_marks:
+            del self._marks[key]
+        kept_attempts = [
+            attempt
+            for attempt in self._unconfirmed_attempts
+            if attempt.fingerprint != request_fingerprint or attempt.at > at
+        ]
+        has_dropped = len(kept_attempts) < len(self._unconfirmed_attempts)
+        if blamed_marks or has_dropped:
+            self._unconfirmed_attempts.clear()
+            self._unconfirmed_attempts.extend(kept_attempts)
+            self._acquitted_at[request_fingerprint] = max(
+                at, self._acquitted_at.get(request_fingerprint, at)
+            )
+            self._acquitted_at.move_to_end(request_fingerprint)
+
+    def _has_survived(self, attempt: BrokenAttempt) -> bool:
+        """Return whether the endpoint still runs after a lost connection."""
+        return bool(attempt.run_key) and self._is_running(attempt.run_key)
+
     def _is_suspect(self, attempt: BrokenAttempt) -> bool:
         simultaneous_attempts = [
             other_attempt
@@ -190,3 +281,8 @@
                 del self._marks[key]
         while len(self._marks) > MAX_ENTRIES:
             del self._marks[next(iter(self._marks))]
+        for request_fingerprint, at in list(self._acquitted_at.items()):
+            if now - at >= ACQUITTAL_SECONDS:
+                del self._acquitted_at[request_fingerprint]
+        while len(self._acquitted_at) > MAX_ENTRIES:
+            self._acquitted_at.popitem(last=False)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -17,6 +17,7 @@
 from cairnloom.entry import upstream
 from cairnloom import exceptions
 from cairnloom.protocol import client
+from cairnloom.routing import quarantine
 from cairnloom.standins import atlas
 
 
@@ -749,3 +750,52 @@
     )
     time.sleep(1.0)
     assert deployment.store.calls == calls
+
+
+def test_polled_path_is_served_after_lost_answers(deploy):
+    """Guards against refusing a sound path for ten minutes (CONFIG)."""
+    endpoints = [
+        atlas.Endpoint('d%d' % number, 'desk', born=number + 1)
+        for number in range(4)
+    ]
+    deployment = deploy(*endpoints, start=False)
+    deployment.start_host('host-1')
+    deployment.start_host('host-2')
+    hosts = [program._host for program in deployment.programs]
+    atlas_deployment.wait_for(
+        lambda: all(host.host_count == 2 for host in hosts), 12.0
+    )
+    for endpoint in endpoints[:2]:
+        endpoint.planned_faults.extend(['', 'lose'])
+    for number in range(400):
+        deployment.call('/safe/status', host=number % 2)
+        if not any(endpoint.planned_faults for endpoint in endpoints):
+            break
+    assert not any(endpoint.planned_faults for endpoint in endpoints)
+    # The hosts exchange what they have observed.
+    time.sleep(1.0)
+    statuses = [
+        deployment.call('/safe/status', host=number % 2).status
+        for number in range(20)
+    ]
+    assert statuses == [200] * 20
+
+
+def test_request_that_may_not_be_repeated_is_not_blamed_for_long(deploy):
+    """Guards against blame for answers that were lost, without a crash."""
+    endpoints = [
+        atlas.Endpoint('d%d' % number, 'desk', born=number + 1)
+        for number in range(3)
+    ]
+    deployment = deploy(*endpoints)
+    for endpoint in endpoints:
+        endpoint.planned_faults.extend(['lose'])
+    for _ in range(3):
+        deployment.call('/once/order', 'POST', b'x')
+    for endpoint in endpoints:
+        endpoint.planned_faults.clear()
+    assert deployment.call('/once/order', 'POST', b'x').status == 503
+    atlas_deployment.wait_for(
+        lambda: deployment.call('/once/order', 'POST', b'x').status == 200,
+        quarantine.EVIDENCE_SECONDS + 2.0,
+    )
