Treat every report of a new era as a restore; share only completed reads

Found while reading the diff: a host that learned of the store's new era from a hub did not wait for lost parts before it sealed windows, while a host that had just started took the first era for a restore. And a take-up whose caller left while it read the store made those beside it count as not confirmed. test_era_that_a_hub_reports_first_counts_as_a_restore fails on the code before.

--- a/src/cairnloom/entry/cluster_state.py
+++ b/src/cairnloom/entry/cluster_state.py
@@ -100,7 +100,8 @@
     that were answered in this way was sent. ``reachable`` records for each
     source whether the store answers calls for it. ``era`` is the store's
     latest known era, None if it is not known, and ``era_since`` the time at
-    which this host learned of it.
+    which this host learned of it. ``on_restored`` is called when the store has
+    returned from a copy.
     """
 
     def __init__(self) -> None:
@@ -113,6 +114,7 @@
         self.on_removed: Callable[[instances.Instance], None] = lambda _: None
         self.era: int | None = None
         self.era_since = float('-inf')
+        self.on_restored: Callable[[], None] = lambda: None
 
     @property
     def limits(self) -> routes.CallerLimits:
@@ -156,11 +158,12 @@
         """Record the store's era; an earlier one has no effect."""
         if self.era is not None and era <= self.era:
             return
-        if self.era is not None:
+        is_first = self.era is None
+        self.era, self.era_since = era, now
+        if not is_first:
             logs.log_event('store_returned_from_copy', era=era)
             self.directory.forget_versions()
-        self.era = era
-        self.era_since = now
+            self.on_restored()
 
     def accept_era(self, era: int | None, now: float) -> bool:
         """Record the era of some changes; return whether it is the latest.
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -88,8 +88,8 @@
 LOAD_BALANCER_REMOVAL_SECONDS = 2.5
 # How often a host that shuts down checks whether all requests are answered.
 DRAIN_POLL_SECONDS = 0.05
-# Unanswered requests are ended this long before the platform kills the
-# process, and connections are closed EXIT_SECONDS before that.
+# Unanswered requests are ended LAST_ANSWERS_SECONDS before the platform kills
+# the process. The process ends itself EXIT_SECONDS before that.
 LAST_ANSWERS_SECONDS = 0.7
 EXIT_SECONDS = 0.3
 
@@ -347,6 +347,7 @@
             self._followers.append(follower)
             cluster_state.run_task(follower.run())
         self._platform.store.on_era = self._note_era
+        self._host.cluster_state.on_restored = self._note_recovery
         self._platform.store.on_recovery = self._note_recovery
         self._platform.store.on_failure = self._note_outage
         for loop in self._loops:
@@ -477,11 +478,7 @@
         self._note_outage()
 
     def _note_era(self, era: int) -> None:
-        cluster = self._host.cluster_state
-        is_first = cluster.era is None
-        cluster.note_era(era, self._host.now())
-        if not is_first:
-            self._note_recovery()
+        self._host.cluster_state.note_era(era, self._host.now())
 
     def _is_running(self, run_key: str) -> bool:
         """Return whether a run of an endpoint is known to run."""
--- a/src/cairnloom/entry/stream_origins.py
+++ b/src/cairnloom/entry/stream_origins.py
@@ -238,9 +238,10 @@
         await self._lock.acquire()
         try:
             if self._began_at < asked_at:
-                self._began_at = self._reactor.seconds()
-                self._succeeded = False
+                began_at = self._reactor.seconds()
+                # If this is cancelled, the next request makes the call.
                 self._succeeded = await self._catch_up()
+                self._began_at = began_at
             return self._succeeded
         finally:
             self._lock.release()
--- a/tests/test_restores.py
+++ b/tests/test_restores.py
@@ -54,6 +54,16 @@
     assert list_states(deployment, 'd2') == ['ready'] * 4
 
 
+def test_era_that_a_hub_reports_first_counts_as_a_restore(deployment):
+    """Guards against windows that are sealed before lost parts are back."""
+    host = deployment.programs[0]._host
+    assert host.store_recovered_at == float('-inf')
+    atlas_deployment.run_in_reactor(
+        host.cluster_state.accept_era, 2, host.now()
+    )
+    assert host.store_recovered_at > float('-inf')
+
+
 def test_row_of_a_host_is_written_again_after_a_restore():
     """Guards against hosts that no newly started host can find."""
     own_row = members.HostRow('host-1', 'host-1.0', '10.0.0.1', 1)
