Take answers of hubs of an older build to be of the present era

Found while reading the diff: while builds are mixed, a hub of the older build leaves the era out of its answers. A host that knew the store's era took each write through it for lost in a restore, and wrote its usage again and again. test_answers_of_hubs_of_an_older_build_are_of_the_present_era fails before. Nothing changes where all hosts run this build.

--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -232,6 +232,7 @@
             self._peers,
             reactor.seconds,
             cluster.is_store_reachable,
+            lambda: cluster.era,
         )
         self._relayed_runner = runner.Runner(relayed_table, reactor)
         self._registration = registration.Registration(
--- a/src/cairnloom/entry/relay.py
+++ b/src/cairnloom/entry/relay.py
@@ -146,6 +146,8 @@
 
     A hub that reaches the store calls it directly. Other hosts commit through
     a hub, and call the store themselves if no hub is connected to it.
+    ``read_era`` returns the store's era, None if it is not known; hubs of
+    older builds leave it out of their answers.
     """
 
     def __init__(
@@ -155,12 +157,14 @@
         peer_client: peers.PeerClient,
         read_clock: Callable[[], float],
         is_store_reachable: Callable[[], bool],
+        read_era: Callable[[], int | None] = lambda: None,
     ) -> None:
         self._table = table
         self._members = membership
         self._peers = peer_client
         self._read_clock = read_clock
         self._is_store_reachable = is_store_reachable
+        self._read_era = read_era
 
     async def read(self, key: str) -> ReadResult:
         """Read one row, directly if possible, otherwise through a hub."""
@@ -177,7 +181,8 @@
                     rows.Row,
                     TIMEOUT_SECONDS,
                 )
-                return expression.Ok(row)
+                era = row.era or self._read_era() or 0
+                return expression.Ok(dataclasses.replace(row, era=era))
             except exceptions.PlatformError as fault:
                 self._note_failure(hub, fault)
         return await self._table.read(key)
@@ -214,7 +219,8 @@
             return expression.Error(
                 exceptions.PlatformError('peer: no outcome', True)
             )
-        return expression.Ok(reply.committed)
+        era = reply.committed.era or self._read_era() or 0
+        return expression.Ok(dataclasses.replace(reply.committed, era=era))
 
     def _note_failure(
         self, hub: members.HostRow, fault: exceptions.PlatformError
--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -445,6 +445,29 @@
     assert peers.asked_hosts == ['a', 'b', 'b']
 
 
+def test_answers_of_hubs_of_an_older_build_are_of_the_present_era():
+    """Guards against usage that is written again and again in an upgrade."""
+    membership = make_members(
+        make_row('a', 'x'), me=make_row('me', since=50.0)
+    )
+    relayed_table = relay.RelayedTable(
+        FakeTable(),
+        membership,
+        FakePeers(),
+        lambda: 0.0,
+        lambda: False,
+        lambda: 3,
+    )
+    results = []
+    transaction = rows.Transaction('id', [rows.Write('part', {}, 0)], era=3)
+    for call in (
+        relayed_table.read('part'),
+        relayed_table.commit(transaction),
+    ):
+        defer.Deferred.fromCoroutine(call).addCallback(results.append)
+    assert [result.ok.era for result in results] == [3, 3]
+
+
 def test_host_writes_itself_if_no_hub_reaches_the_store():
     peers, table = FakePeers(failing_hosts=('a', 'b', 'c')), FakeTable(None)
     assert commit_relayed(peers, table, is_hub=False).is_ok()
