--- a/src/cairnloom/coordination/leases.py
+++ b/src/cairnloom/coordination/leases.py
@@ -11,9 +11,9 @@
 plus a margin. Clocks are never compared between hosts, but their rates must
 not differ by more than margin / term.
 
-A holder that releases the lease early says after how long another process may
-take it. So two takeovers are always some time apart, and holders never act in
-the order A, B, A within it.
+A holder that releases the lease names the time until another process may take
+it, so that two takeovers are at least ``takeover_interval`` apart. Holders
+never act in the order A, B, A within that time.
 
 A table that returns from a copy may show a lease as it was before a takeover.
 A row that was written in an earlier era therefore proves nothing: the process
--- a/src/cairnloom/entry/paths.py
+++ b/src/cairnloom/entry/paths.py
@@ -205,7 +205,7 @@
             cluster_state.run_task(self._check(instance, check))
         return await check.wait()
 
-    def has_answered_check(self, instance: instances.Instance) -> bool:
+    def could_connect(self, instance: instances.Instance) -> bool:
         """Return whether this host could connect when it last checked."""
         check = self._checks.get(instance.identity)
         return check is not None and check.reached
--- a/src/cairnloom/entry/requests.py
+++ b/src/cairnloom/entry/requests.py
@@ -252,7 +252,7 @@
         It is empty if nobody could connect to it right after that, or if runs
         of the endpoint can't be told apart.
         """
-        if instance.born and self.host.paths.has_answered_check(instance):
+        if instance.born and self.host.paths.could_connect(instance):
             return instance.run_key
         return ''
 
--- a/src/cairnloom/platform/store.py
+++ b/src/cairnloom/platform/store.py
@@ -151,7 +151,7 @@
                 orjson.dumps(_encode_transaction(transaction)),
             )
             body = _parse_object(reply.body)
-            era = self._era_of(reply)
+            era = self._read_era(reply)
             if reply.status == 412:
                 return expression.Ok(_decode_conflict(body, era))
             if expected_era not in (None, era):
@@ -211,7 +211,9 @@
         )
         if reply.status == 410:
             return HistoryLost()
-        return _decode_listing(_parse_object(reply.body), self._era_of(reply))
+        return _decode_listing(
+            _parse_object(reply.body), self._read_era(reply)
+        )
 
     async def _list(
         self, table: str, start: str = '', end: str = '', limit: int = 500
@@ -227,7 +229,7 @@
             'GET', '/v1/rows-get?' + parse.urlencode(query)
         )
         listing = _decode_listing(
-            _parse_object(reply.body), self._era_of(reply)
+            _parse_object(reply.body), self._read_era(reply)
         )
         self._measure_clock(sent_at, listing.store_seconds)
         return listing
@@ -266,10 +268,10 @@
             raise exceptions.PlatformError(
                 'store: status %d' % reply.status, not was_refused
             )
-        self._check_era(self._era_of(reply))
+        self._check_era(self._read_era(reply))
         return reply
 
-    def _era_of(self, reply: client.Reply) -> int:
+    def _read_era(self, reply: client.Reply) -> int:
         """Return the era of an answer; stores without eras don't name it."""
         values = reply.headers.getRawHeaders(names.ERA)
         if not values:
--- a/src/cairnloom/routing/quarantine.py
+++ b/src/cairnloom/routing/quarantine.py
@@ -6,8 +6,9 @@
 requests is marked, since an outage of the domain is the likely cause.
 
 A broken connection alone is no crash: an answer may have been lost. A request
-stays marked only if the run of its endpoint was found to have ended soon
-after, and an answer to the same request acquits it on all hosts.
+stays marked only if its endpoint could not be reached after that, or if its
+run is soon found to have ended. An answer to the same request acquits it, on
+all hosts.
 """
 
 import collections
@@ -111,8 +112,7 @@
     def note_answered(self, request_fingerprint: str, now: float) -> None:
         """Record that an endpoint has answered a request.
 
-        What a request that is suspected is blamed for before that was no
-        crash, or not its own.
+        Crashes for which it is blamed until then had another cause.
         """
         if not self.is_empty():
             self._acquit(request_fingerprint, now)
