Let an answer acquit a request whose lost connection is still being judged

Seen in a whole run beside a load of some 24: test_polled_path_is_served_after_lost_answers got 503 twenty times.

Cause, in the product: whether an endpoint is at fault is checked by connecting to it, and the attempt was recorded after that. An answer to the repeat could come before, and acquitted nothing. test_answer_during_the_judgement_counts fails before. A request remembers answers now from when its connection is lost.

--- a/src/cairnloom/entry/requests.py
+++ b/src/cairnloom/entry/requests.py
@@ -208,6 +208,14 @@
         cluster_state.run_task(self._judge(lost))
 
     async def _judge(self, lost: LostConnection) -> None:
+        request_fingerprint = self.fingerprint()
+        self.host.quarantine.begin_judgement(request_fingerprint)
+        try:
+            await self._judge_endpoint(lost)
+        finally:
+            self.host.quarantine.end_judgement(request_fingerprint)
+
+    async def _judge_endpoint(self, lost: LostConnection) -> None:
         instance = lost.instance
         at_fault = await self.host.paths.is_endpoint_at_fault(instance)
         shared_parts = self.list_shared_parts()
--- a/src/cairnloom/routing/quarantine.py
+++ b/src/cairnloom/routing/quarantine.py
@@ -104,10 +104,27 @@
         )
         self._marks: dict[tuple[str, str], tuple[CrashMark, float]] = {}
         self._crash_count = 0
+        self._judgements: collections.Counter[str] = collections.Counter()
+
+    def begin_judgement(self, request_fingerprint: str) -> None:
+        """Remember answers to a request from now on.
+
+        Called when a connection is lost, as it takes a while until it is known
+        whether the endpoint is at fault.
+        """
+        self._judgements[request_fingerprint] += 1
+
+    def end_judgement(self, request_fingerprint: str) -> None:
+        """End what :meth:`begin_judgement` has begun."""
+        self._judgements[request_fingerprint] -= 1
+        if self._judgements[request_fingerprint] <= 0:
+            del self._judgements[request_fingerprint]
 
     def note_broken(self, attempt: BrokenAttempt) -> None:
-        """Record a broken attempt, before the request is sent again."""
-        self._unconfirmed_attempts.append(attempt)
+        """Record a broken attempt, unless the request was answered since."""
+        acquitted_at = self._acquitted_at.get(attempt.fingerprint)
+        if acquitted_at is None or attempt.at > acquitted_at:
+            self._unconfirmed_attempts.append(attempt)
 
     def note_answered(self, request_fingerprint: str, now: float) -> None:
         """Record that an endpoint has answered a request.
@@ -156,7 +173,9 @@
 
     def is_empty(self) -> bool:
         """Return whether no request is suspected of a crash."""
-        return not self._marks and not self._unconfirmed_attempts
+        return not (
+            self._marks or self._unconfirmed_attempts or self._judgements
+        )
 
     def list_newest_marks(self, now: float) -> list[CrashMark]:
         """Return the newest marks, to send to peers."""
@@ -228,7 +247,8 @@
             if attempt.fingerprint != request_fingerprint or attempt.at > at
         ]
         has_dropped = len(kept_attempts) < len(self._unconfirmed_attempts)
-        if blamed_marks or has_dropped:
+        is_judged = request_fingerprint in self._judgements
+        if blamed_marks or has_dropped or is_judged:
             self._unconfirmed_attempts.clear()
             self._unconfirmed_attempts.extend(kept_attempts)
             self._acquitted_at[request_fingerprint] = max(
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -114,6 +114,23 @@
     assert not local_quarantine.is_refused('polled', 20.0)
 
 
+def test_answer_during_the_judgement_counts():
+    """Guards against blame that is recorded after the repeat's answer."""
+    local_quarantine = quarantine.Quarantine('h')
+    for number in (1, 2):
+        local_quarantine.begin_judgement('polled')
+        assert not local_quarantine.is_empty()
+        local_quarantine.note_answered('polled', number + 0.5)
+        local_quarantine.note_broken(
+            make_broken_attempt(
+                'e%d' % number, 'd%d' % number, 'polled', crashed_at=number
+            )
+        )
+        local_quarantine.end_judgement('polled')
+    assert not local_quarantine.is_refused('polled', 3.0)
+    assert local_quarantine.is_empty()
+
+
 def test_acquittal_reaches_hosts_that_refuse_everything():
     local_quarantine, peer_quarantine = make_marked(), make_marked('o')
     for one in (local_quarantine, peer_quarantine):
