--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -313,6 +313,8 @@
         raise exceptions.PlatformError('cut off')
 
     late._hub_sync.run_round = late._peers.call = do_nothing
+    # Reports of streams don't arrive there either.
+    late._stream_origins.receive = lambda report: None
     for follower in late._followers:
         atlas_deployment.run_in_reactor(follower.stop)
     reachable = late._host.cluster_state.reachable
