Limit what a host holds of all unfinished replies together

Cause: each reply had a bound, their sum had none; heads and trailers of short lines take eight times their length as objects, in parsers that only the garbage collector frees; connections for single requests had no bound on the head.

Ruled out: chunks, chunk extensions and interim heads (growth below 13 MB before, Twisted bounds them).

Endpoints have a budget of their own. Answers of more than 256 KiB with a declared length are passed on as the caller reads, which also bounds what a slow caller costs; such an answer that breaks off is not repeated, as its head has been sent.

One test of the gateway's relay passes a budget of four times the bound it checks, and reads the size from the new buffer. The listener for health probes moved to a module of its own.

--- a/src/cairnloom/entry/attempts.py
+++ b/src/cairnloom/entry/attempts.py
@@ -8,6 +8,7 @@
 from typing import Callable
 
 from .. import exceptions
+from ..protocol import receive_budget
 from ..routing import instances
 from ..routing import work
 from ..runtime import logs
@@ -21,6 +22,9 @@
 # The lowest status by which an endpoint reports its own failure.
 _SERVER_ERROR = 500
 EVENT_STREAM = 'text/event-stream'
+# Larger bodies of declared length are not collected but passed on as they
+# arrive, as fast as the caller reads.
+MAX_COLLECTED_BYTES = 256 * 1024
 
 
 async def send(
@@ -197,6 +201,8 @@
         return _classify_fault(fault)
     if not head.not_run:
         request.count_usage(sent_at)
+    if _is_long_answer(response, head):
+        return await _pass_on(request, response, head)
     body, complete = await response.read_whole()
     if head.not_run:
         return outcomes.NotRun('status %d' % head.status, True)
@@ -212,6 +218,32 @@
     return outcomes.Answered()
 
 
+def _is_long_answer(
+    response: upstream.EndpointResponse, head: work.ResponseHead
+) -> bool:
+    """Return whether an answer is final and too long to be collected."""
+    is_final = head.signed and not head.not_run and head.status < _SERVER_ERROR
+    return is_final and (response.declared_bytes or 0) > MAX_COLLECTED_BYTES
+
+
+async def _pass_on(
+    request: requests.Request,
+    response: upstream.EndpointResponse,
+    head: work.ResponseHead,
+) -> outcomes.Outcome:
+    """Pass an answer of declared length on as it arrives."""
+    caller = request.caller
+    length = (b'content-length', b'%d' % (response.declared_bytes or 0))
+    caller.send_head(head.status, [*head.headers, length])
+    caller.register_producer(response.pause, response.resume)
+    complete = await response.read(caller.write)
+    caller.unregister_producer()
+    if not complete:
+        return outcomes.Failed('broken off', True)
+    caller.finish()
+    return outcomes.Answered()
+
+
 def _is_event_stream(response: upstream.EndpointResponse) -> bool:
     """Return whether an answer can be a stream, by its content type."""
     for content_type in response.headers.getRawHeaders('content-type', []):
@@ -247,6 +279,7 @@
         self._events = events.EventReader()
         self._response: upstream.EndpointResponse | None = None
         self._head: work.ResponseHead | None = None
+        self._reservation: receive_budget.Reservation | None = None
         self.event_count = 0
         self._reject_reason = ''
 
@@ -278,7 +311,13 @@
         caller = request.caller
         if caller.head_sent:
             caller.unregister_producer()
-        complete = await response.read(self._handle_data)
+        self._reservation = response.budget.reserve(
+            lambda: self._reject('too many bytes of answers')
+        )
+        try:
+            complete = await response.read(self._handle_data)
+        finally:
+            self._reservation.release()
         if caller.head_sent:
             caller.unregister_producer()
         if self._reject_reason:
@@ -306,12 +345,20 @@
         if self._reject_reason or self._response is None:
             return
         for event in self._events.feed(data):
-            self._reject_reason = self._forward_event(event)
-            if self._reject_reason:
-                self._response.drop()
+            reason = self._forward_event(event)
+            if reason:
+                self._reject(reason)
                 return
         if self._events.too_large:
-            self._reject_reason = 'event too large'
+            self._reject('event too large')
+        elif self._reservation is not None:
+            self._reservation.hold(self._events.incomplete_bytes)
+
+    def _reject(self, reason: str) -> None:
+        """End the attempt, and discard what was not passed on."""
+        self._reject_reason = reason
+        self._events = events.EventReader()
+        if self._response is not None:
             self._response.drop()
 
     def _forward_event(self, event: events.StreamEvent) -> str:
--- a/src/cairnloom/entry/events.py
+++ b/src/cairnloom/entry/events.py
@@ -48,6 +48,11 @@
         """Whether the stream so far ends with an incomplete event."""
         return bool(self._buffer)
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """The number of bytes of the incomplete event."""
+        return len(self._buffer)
+
     @property
     def too_large(self) -> bool:
         """Whether the incomplete event has more than MAX_EVENT_BYTES."""
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -8,14 +8,13 @@
 from typing import Callable
 import uuid
 
-from twisted.web import http
-
 from .. import exceptions
 from ..coordination import leases
 from ..coordination import usage
 from ..protocol import callers
 from ..protocol import client
 from ..protocol import codec
+from ..protocol import receive_budget
 from ..protocol import server
 from ..routing import crashing_parts
 from ..routing import endpoint_stats
@@ -36,6 +35,7 @@
 from . import cache_discovery
 from . import clocks
 from . import cluster_state
+from . import health
 from . import hubs
 from . import leader_tasks
 from . import members
@@ -126,7 +126,10 @@
     ) -> None:
         self._reactor = reactor
         self._settings = host_settings
-        http_client = client.HttpClient(reactor)
+        receive_limit = receive_budget.limit_for_memory(
+            host_settings.memory_bytes
+        )
+        http_client = client.HttpClient(reactor, receive_limit)
         platform = connect(http_client)
         self._platform = platform
         self._owner = '%s.%s' % (host_settings.host, uuid.uuid4().hex[:8])
@@ -186,7 +189,10 @@
         cluster.directory.grace_seconds = max(
             0.0, host_settings.bounds.drain - REPORT_DELAY_SECONDS
         )
-        own_upstream = upstream.Upstream(reactor, platform.read_idle_timeout)
+        own_upstream = upstream.Upstream(
+            reactor, platform.read_idle_timeout, receive_limit
+        )
+        own_upstream.receive_budget.on_ended = _log_ended_reply
         self._paths = paths.Paths(
             reactor,
             own_upstream,
@@ -318,7 +324,9 @@
         host_settings = self._settings
         self._listen('callers', host_settings.callers, self._listener)
         self._listen(
-            'health', host_settings.health, _HealthListener(self._is_ready)
+            'health',
+            host_settings.health,
+            health.HealthListener(self._is_ready),
         )
         self._ports['internal'] = server.listen(
             self._reactor,
@@ -668,39 +676,9 @@
     )
 
 
-def _log_limit(endpoint: str, rate: float | None) -> None:
-    logs.log_event('rate_limit', endpoint=endpoint, rate=rate)
-
-
-class _HealthRequest(http.Request):
-    """Answer every request with the readiness of the host."""
-
-    def process(self) -> None:
-        ready = self.channel.factory.is_ready()
-        self.setResponseCode(200 if ready else 503)
-        self.setHeader(b'content-length', b'0')
-        self.finish()
+def _log_ended_reply(held_bytes: int) -> None:
+    logs.log_event('reply_ended', reason='memory', held_bytes=held_bytes)
 
 
-class _HealthListener(http.HTTPFactory):
-    """The listener for the load balancer's health probes."""
-
-    def __init__(self, is_ready: Callable[[], bool]) -> None:
-        super().__init__()
-        self.is_ready = is_ready
-
-    def buildProtocol(self, addr: Any) -> Any:
-        channel = http.HTTPChannel()
-        channel.requestFactory = _HealthRequest  # type: ignore[assignment]
-        channel.factory = self  # type: ignore[assignment]
-        channel.timeOut = 60
-        return channel
-
-    def startFactory(self) -> None:
-        """Keep no access log."""
-
-    def stopFactory(self) -> None:
-        """There is no access log to close."""
-
-    def log(self, request: Any) -> None:
-        """Log nothing, as all requests here are health probes."""
+def _log_limit(endpoint: str, rate: float | None) -> None:
+    logs.log_event('rate_limit', endpoint=endpoint, rate=rate)
--- a/src/cairnloom/entry/requests.py
+++ b/src/cairnloom/entry/requests.py
@@ -100,6 +100,9 @@
         """Return whether a request that may have run may be sent again."""
         if self.caller.disconnected or not self.route.repeatable:
             return False
+        # Only a stream can go on where its last attempt ended.
+        if self.caller.head_sent and self.route.kind != 'stream':
+            return False
         return self.possible_runs < self.route.attempts
 
     def may_run_on(self, instance: instances.Instance) -> bool:
--- a/src/cairnloom/entry/settings.py
+++ b/src/cairnloom/entry/settings.py
@@ -52,7 +52,8 @@
     ``duties`` names the tasks that the lease holder performs for the whole
     deployment. ``seeds`` are the addresses of hosts to ask while no other host
     is known. ``store`` and ``cloud_api`` are addresses of the platform.
-    ``processor`` is the processor capacity in cores.
+    ``processor`` is the processor capacity in cores. ``memory_bytes`` is the
+    memory that the process may use, None if there is no limit.
     """
 
     host: str
@@ -68,3 +69,4 @@
     duties: tuple[str, ...]
     bounds: Bounds
     processor: float = 1.0
+    memory_bytes: int | None = None
--- a/src/cairnloom/entry/upstream.py
+++ b/src/cairnloom/entry/upstream.py
@@ -18,9 +18,11 @@
 from twisted.web import _newclient
 from twisted.web import client
 from twisted.web import http_headers
+from twisted.web import iweb
 
 from .. import exceptions
 from ..protocol import client as http_client
+from ..protocol import receive_budget
 from ..protocol import sockets
 from ..routing import instances
 
@@ -45,8 +47,9 @@
         self,
         on_idle: Callable[['_Connection'], None],
         on_connected: Callable[['_Connection'], None],
+        budget: receive_budget.ReceiveBudget,
     ) -> None:
-        super().__init__(on_idle)
+        super().__init__(on_idle, budget)
         self._on_connected = on_connected
         self.unusable = False
         self.was_used = False
@@ -149,10 +152,18 @@
 
     ``on_used_connection`` is set if an earlier request went over the same
     connection, so that the response may be a late copy of an earlier one.
+    ``declared_bytes`` is the size of the body as the head gives it, None if it
+    does not. ``budget`` counts what is held of the body.
     """
 
-    def __init__(self, connection: _Connection, response: Any) -> None:
+    def __init__(
+        self,
+        connection: _Connection,
+        response: Any,
+        budget: receive_budget.ReceiveBudget,
+    ) -> None:
         self._connection = connection
+        self.budget = budget
         self.on_used_connection = connection.was_used
         connection.was_used = True
         self._response = response
@@ -160,6 +171,9 @@
         self.too_large = False
         self.status: int = response.code
         self.headers: http_headers.Headers = response.headers
+        self.declared_bytes: int | None = None
+        if response.length is not iweb.UNKNOWN_LENGTH:
+            self.declared_bytes = response.length
 
     async def read(self, on_data: Callable[[bytes], None]) -> bool:
         """Pass the body on in pieces; return whether it is complete.
@@ -186,21 +200,31 @@
     async def read_whole(self) -> tuple[bytes, bool]:
         """Return the body, and whether it is complete.
 
-        If it has more than MAX_BODY_BYTES, the connection is closed and
-        ``too_large`` is set.
+        If it has more than MAX_BODY_BYTES, or the budget for unfinished
+        replies requires it, the connection is closed and ``too_large`` is set.
         """
-        body = bytearray()
+        body = receive_budget.Blocks()
+
+        def stop() -> None:
+            self.too_large = True
+            body.clear()
+            self.drop()
+
+        reservation = self.budget.reserve(stop)
 
         def add(data: bytes) -> None:
             if self.too_large:
                 return
-            body.extend(data)
-            if len(body) > MAX_BODY_BYTES:
-                self.too_large = True
-                self.drop()
+            body.add(data)
+            reservation.hold(body.size)
+            if body.size > MAX_BODY_BYTES:
+                stop()
 
-        complete = await self.read(add)
-        return bytes(body), complete and not self.too_large
+        try:
+            complete = await self.read(add)
+        finally:
+            reservation.release()
+        return body.join(), complete and not self.too_large
 
     def drop(self) -> None:
         """Close the connection, so that the endpoint stops its work."""
@@ -235,7 +259,9 @@
         self,
         reactor: Any,
         read_idle_timeout: Callable[[http_headers.Headers], float | None],
+        receive_limit_bytes: int = receive_budget.DEFAULT_LIMIT_BYTES,
     ) -> None:
+        self.receive_budget = receive_budget.ReceiveBudget(receive_limit_bytes)
         self._reactor = reactor
         self._read_idle_timeout = read_idle_timeout
         self._idle: dict[Any, collections.deque[_Connection]] = {}
@@ -290,7 +316,7 @@
         )
         if idle_timeout_seconds is not None:
             connection.keep_alive_seconds = idle_timeout_seconds
-        return EndpointResponse(connection, response)
+        return EndpointResponse(connection, response, self.receive_budget)
 
     async def connect_idle(
         self, instance: instances.Instance, connect_seconds: float
@@ -372,6 +398,7 @@
         factory = _ConnectionFactory(
             pending_connection,
             lambda idle_connection: self._keep_idle(instance, idle_connection),
+            self.receive_budget,
         )
         connector = self._reactor.connectTCP(
             instance.address,
@@ -442,13 +469,15 @@
         self,
         pending_connection: defer.Deferred[_Connection],
         on_idle: Callable[[_Connection], None],
+        budget: receive_budget.ReceiveBudget,
     ) -> None:
+        self._budget = budget
         self._pending_connection = pending_connection
         self._on_idle = on_idle
         self._cancelled = False
 
     def buildProtocol(self, addr: Any) -> _Connection:
-        return _Connection(self._on_idle, self._report_connected)
+        return _Connection(self._on_idle, self._report_connected, self._budget)
 
     def cancel(self, connector: Any) -> None:
         """Stop connecting, or close a connection that was just established."""
--- a/src/cairnloom/gateway/calls.py
+++ b/src/cairnloom/gateway/calls.py
@@ -13,6 +13,7 @@
 from ..coordination import usage
 from ..endpoints import engines
 from ..protocol import client
+from ..protocol import receive_budget
 from ..routing import choice
 from ..routing import retries
 
@@ -66,16 +67,21 @@
     """Relay the body of an endpoint's answer to the caller.
 
     With ``buffered`` the body is collected instead, because a claimed answer
-    must be stored before the caller receives it.
+    must be stored before the caller receives it. What is collected is counted
+    in ``budget``.
     """
 
     def __init__(
-        self, http_request: callers.CallerRequest, buffered: bool
+        self,
+        http_request: callers.CallerRequest,
+        buffered: bool,
+        budget: receive_budget.ReceiveBudget,
     ) -> None:
         self.done: defer.Deferred[bool] = defer.Deferred()
-        self.body = b''
+        self.body = receive_budget.Blocks()
         self._http_request = http_request
         self._buffered = buffered
+        self._reservation = budget.reserve(self._discard)
 
     def take(self, data: bytes) -> None:
         """Send the next bytes to the caller, or collect them if buffered."""
@@ -84,12 +90,18 @@
         if not self._buffered:
             self._http_request.write(data)
             return
-        self.body += data
-        if len(self.body) > client.MAX_REPLY_BYTES:
-            self.finish(False)
+        self.body.add(data)
+        self._reservation.hold(self.body.size)
+        if self.body.size > client.MAX_REPLY_BYTES:
+            self._discard()
+
+    def _discard(self) -> None:
+        self.body.clear()
+        self.finish(False)
 
     def finish(self, complete: bool) -> None:
         """Handle the end of the body."""
+        self._reservation.release()
         if not self.done.called:
             self.done.callback(complete)
 
@@ -176,7 +188,11 @@
         sent_at = self._state.now()
         reply = await self._open(endpoint_choice)
         self._request.cancel = reply.cancel
-        relay = _BodyRelay(self._request.http_request, self._claim is not None)
+        relay = _BodyRelay(
+            self._request.http_request,
+            self._claim is not None,
+            self._state.http.receive_budget,
+        )
         content_type = reply.headers.getRawHeaders(
             'content-type', ['text/plain']
         )[0]
@@ -273,11 +289,12 @@
         if self._claim is None:
             self._request.http_request.finish()
             return
-        text = relay.body.decode('latin-1')
+        body = relay.body.join()
+        text = body.decode('latin-1')
         await self._claim.finish(
             claims.StoredAnswer(status, content_type, text)
         )
-        self._request.http_request.answer(status, content_type, relay.body)
+        self._request.http_request.answer(status, content_type, body)
 
     def _build_unavailable_refusal(self) -> callers.Refusal:
         return callers.Refusal(
--- a/src/cairnloom/gateway/dispatch.py
+++ b/src/cairnloom/gateway/dispatch.py
@@ -17,6 +17,7 @@
 from .. import exceptions
 from ..endpoints import engines
 from ..protocol import client
+from ..protocol import receive_budget
 
 MAX_HEAD_TIMEOUT_SECONDS = 30.0
 MIN_HEAD_TIMEOUT_SECONDS = 2.0
@@ -60,15 +61,24 @@
 
 
 class _EventSink:
-    """Split the body of an engine's reply into events."""
+    """Split the body of an engine's reply into events.
+
+    An incomplete line is counted in ``budget``.
+    """
 
     def __init__(
-        self, reactor: Any, on_event: Callable[[dict[str, Any]], None]
+        self,
+        reactor: Any,
+        on_event: Callable[[dict[str, Any]], None],
+        budget: receive_budget.ReceiveBudget,
     ) -> None:
         self.done: defer.Deferred[None] = defer.Deferred()
         self._on_event = on_event
         self._reactor = reactor
         self._partial_line = b''
+        self._reservation = budget.reserve(
+            lambda: self.fail('too many bytes of answers')
+        )
         self._end_marker_seen = False
         self._finish_reason_seen = False
         self._idle_timer = reactor.callLater(
@@ -85,6 +95,7 @@
         if len(self._partial_line) > MAX_EVENT_BYTES:
             self.fail('event too large')
             return
+        self._reservation.hold(len(self._partial_line))
         try:
             for line in lines:
                 self._process_line(line.strip())
@@ -93,6 +104,7 @@
 
     def finish(self, complete: bool) -> None:
         """Handle the end of the body."""
+        self._reservation.release()
         if self._end_marker_seen and complete:
             if self._finish_reason_seen:
                 self._succeed()
@@ -105,6 +117,8 @@
 
     def fail(self, reason: str, connection_lost: bool = False) -> None:
         """Fail the attempt, unless it has ended already."""
+        self._partial_line = b''
+        self._reservation.release()
         if self._idle_timer.active():
             self._idle_timer.cancel()
         if not self.done.called:
@@ -174,7 +188,7 @@
         if self._cancelled:
             raise exceptions.EndpointError('cancelled', may_have_run=True)
         await self._check_head(attempt)
-        sink = _EventSink(self._reactor, on_event)
+        sink = _EventSink(self._reactor, on_event, self._http.receive_budget)
         self._sink = sink
         self._reply.read_into(sink)
         try:
--- a/src/cairnloom/platform/settings.py
+++ b/src/cairnloom/platform/settings.py
@@ -35,6 +35,8 @@
     # core is faster than a standard one.
     CpuShare: float = 1
     Cores: float = 1
+    # The process is killed if it exceeds this; 0 stands for no limit.
+    MemoryMb: float = pydantic.Field(0, ge=0)
 
 
 class _Bounds(_JsonObject):
@@ -118,6 +120,7 @@
         duties=tuple(decoded.CloudApi.Duties),
         bounds=_read_bounds(decoded.Bounds),
         processor=decoded.Limits.CpuShare * decoded.Limits.Cores,
+        memory_bytes=int(decoded.Limits.MemoryMb * 1024 * 1024) or None,
     )
 
 
--- a/src/cairnloom/protocol/client.py
+++ b/src/cairnloom/protocol/client.py
@@ -5,7 +5,7 @@
 """
 
 import dataclasses
-import io
+import functools
 from typing import Any
 from typing import Protocol
 
@@ -15,12 +15,14 @@
 from twisted.python import failure
 from twisted.web import _newclient
 from twisted.web import client
+from twisted.web import http
 from twisted.web import http_headers
 from twisted.web import iweb
 from zope.interface import implementer
 
 from .. import exceptions
 
+from . import receive_budget
 from . import resolver
 from . import sockets
 
@@ -28,6 +30,8 @@
 IDLE_CONNECTION_SECONDS = 20.0
 CONNECTIONS_PER_ADDRESS = 64
 MAX_HEAD_BYTES = 64 * 1024
+# A short header line takes this many times its length in memory.
+HEAD_OVERHEAD = 8
 MAX_REPLY_BYTES = 16 * 1024 * 1024
 # Statuses that say that a request has not run.
 REFUSAL_STATUSES = frozenset([408, 421, 429, 503])
@@ -82,24 +86,31 @@
 class _BodyCollector:
     """Collects a body of limited size and fires a deferred with it."""
 
-    def __init__(self) -> None:
+    def __init__(self, budget: receive_budget.ReceiveBudget) -> None:
         self.done: defer.Deferred[bytes] = defer.Deferred()
-        self._body = io.BytesIO()
+        self._body = receive_budget.Blocks()
+        self._reservation = budget.reserve(
+            lambda: self._fail('too many bytes of replies')
+        )
 
     def take(self, data: bytes) -> None:
         if self.done.called:
             return
-        self._body.write(data)
-        if self._body.tell() > MAX_REPLY_BYTES:
+        self._body.add(data)
+        self._reservation.hold(self._body.size)
+        if self._body.size > MAX_REPLY_BYTES:
             self._fail('reply too large')
 
     def finish(self, complete: bool) -> None:
         if not complete:
             self._fail('reply cut off')
         elif not self.done.called:
-            self.done.callback(self._body.getvalue())
+            self._reservation.release()
+            self.done.callback(self._body.join())
 
     def _fail(self, reason: str) -> None:
+        self._reservation.release()
+        self._body.clear()
         if not self.done.called:
             self.done.errback(
                 exceptions.TransportError(reason, may_have_been_sent=True)
@@ -141,8 +152,11 @@
 class StreamedReply:
     """A reply whose head has arrived and whose body is not read yet."""
 
-    def __init__(self, response: Any) -> None:
+    def __init__(
+        self, response: Any, budget: receive_budget.ReceiveBudget
+    ) -> None:
         self._response = response
+        self._budget = budget
         self.status: int = response.code
         self.headers: http_headers.Headers = response.headers
         self._receiver: _BodyReceiver | None = None
@@ -174,8 +188,12 @@
         self.cancel()
 
     async def collect(self) -> bytes:
-        """Read and return the whole body, up to ``MAX_REPLY_BYTES``."""
-        collector = _BodyCollector()
+        """Read and return the whole body.
+
+        It may have up to ``MAX_REPLY_BYTES``, and is counted in the budget of
+        the client.
+        """
+        collector = _BodyCollector(self._budget)
         self.read_into(collector)
         return await collector.done
 
@@ -183,32 +201,61 @@
 class BoundedConnection(_newclient.HTTP11ClientProtocol):
     """A connection with TCP keepalive that bounds the size of heads.
 
-    If the head of a response has more than MAX_HEAD_BYTES, the connection is
-    aborted and ``head_too_large`` is set. The connection is closed after a
-    refusal: a faulty server may write it once more, and the copy would pass
-    for the response to the next request.
+    If the head of a response has more than MAX_HEAD_BYTES, or the budget for
+    unfinished replies requires it, the connection is aborted and
+    ``head_too_large`` is set. Bytes of chunked bodies that are no content,
+    such as trailers, are counted in the budget too.
+
+    The connection is closed after a refusal: a faulty server may write it once
+    more, and the copy would pass for the response to the next request.
     """
 
     transport: Any
 
-    def __init__(self, on_idle: Any) -> None:
+    def __init__(
+        self, on_idle: Any, budget: receive_budget.ReceiveBudget
+    ) -> None:
         super().__init__(on_idle)
         self.head_too_large = False
         self._head_bytes = 0
+        self._reservation = budget.reserve(self._abort_head)
 
     def connectionMade(self) -> None:
         super().connectionMade()
         sockets.enable_keepalive(self.transport)
 
     def dataReceived(self, data: bytes) -> None:
+        parser = self._parser
         super().dataReceived(data)
-        if self._parser is None or self._parser.state == _newclient.BODY:
+        if self._parser is None:
+            self._head_bytes = 0
+            self._reservation.release()
+            _discard_undecoded_bytes(parser)
+            return
+        if self._parser.state == _newclient.BODY:
             self._head_bytes = 0
+            self._reservation.hold(_count_undecoded_bytes(self._parser))
             return
         self._head_bytes += len(data)
+        self._reservation.hold(self._head_bytes * HEAD_OVERHEAD)
         if self._head_bytes > MAX_HEAD_BYTES:
-            self.head_too_large = True
-            self.transport.abortConnection()
+            self._abort_head()
+
+    def connectionLost(
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        self._reservation.release()
+        super().connectionLost(reason)
+
+    def _abort_head(self) -> None:
+        self.head_too_large = True
+        self._reservation.release()
+        self.transport.abortConnection()
+        # The parser is part of a reference cycle, so its memory would only be
+        # freed by the next garbage collection.
+        _discard_undecoded_bytes(self._parser)
+        if self._parser is not None:
+            self._parser.headers._rawHeaders.clear()
 
     def _finishResponse_WAITING(self, rest: bytes) -> None:
         parser: Any = self._parser
@@ -221,11 +268,43 @@
     _finishResponse_TRANSMITTING = _finishResponse_WAITING
 
 
+def _find_decoder(parser: Any) -> http._ChunkedTransferDecoder | None:
+    decoder = getattr(parser, 'bodyDecoder', None)
+    if isinstance(decoder, http._ChunkedTransferDecoder):
+        return decoder
+    return None
+
+
+def _count_undecoded_bytes(parser: Any) -> int:
+    """Return what is held of a chunked body in addition to its content."""
+    decoder = _find_decoder(parser)
+    if decoder is None:
+        return 0
+    trailer_bytes = decoder._receivedTrailerHeadersSize * HEAD_OVERHEAD
+    return len(decoder._buffer) + trailer_bytes
+
+
+def _discard_undecoded_bytes(parser: Any) -> None:
+    decoder = _find_decoder(parser)
+    if decoder is not None:
+        decoder._buffer.clear()
+        decoder._trailerHeaders.clear()
+
+
 class _ConnectionFactory(client._HTTP11ClientFactory):
     """Factory of bounded connections."""
 
+    def __init__(
+        self,
+        on_idle: Any,
+        metadata: Any,
+        budget: receive_budget.ReceiveBudget,
+    ) -> None:
+        super().__init__(on_idle, metadata)
+        self._budget = budget
+
     def buildProtocol(self, addr: Any) -> _newclient.HTTP11ClientProtocol:
-        return BoundedConnection(self._quiescentCallback)
+        return BoundedConnection(self._quiescentCallback, self._budget)
 
 
 def is_cancelled(fault: BaseException) -> bool:
@@ -248,15 +327,22 @@
 
 
 class HttpClient:
-    """Sends requests to other processes over pooled or new connections."""
+    """Sends requests to other processes over pooled or new connections.
 
-    def __init__(self, reactor: Any) -> None:
+    ``receive_limit_bytes`` limits what is held of all unfinished replies.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        receive_limit_bytes: int = receive_budget.DEFAULT_LIMIT_BYTES,
+    ) -> None:
+        self.receive_budget = receive_budget.ReceiveBudget(receive_limit_bytes)
         self.exchanges = 0
         self.exchanged_bytes = 0
         self._reactor = reactor
         resolver.install_resolver(reactor)
-        self._pool = client.HTTPConnectionPool(reactor, persistent=True)
-        self._pool._factory = _ConnectionFactory
+        self._pool = self._make_pool(persistent=True)
         self._pool.retryAutomatically = False
         self._pool.maxPersistentPerHost = CONNECTIONS_PER_ADDRESS
         self._pool.cachedConnectionTimeout = int(IDLE_CONNECTION_SECONDS)
@@ -264,7 +350,9 @@
             reactor, connectTimeout=CONNECT_TIMEOUT_SECONDS, pool=self._pool
         )
         self._fresh_agent = client.Agent(
-            reactor, connectTimeout=CONNECT_TIMEOUT_SECONDS
+            reactor,
+            connectTimeout=CONNECT_TIMEOUT_SECONDS,
+            pool=self._make_pool(persistent=False),
         )
 
     async def open(
@@ -312,7 +400,7 @@
         finally:
             if timer.active():
                 timer.cancel()
-        return StreamedReply(response)
+        return StreamedReply(response, self.receive_budget)
 
     async def exchange(
         self,
@@ -347,3 +435,10 @@
     async def close(self) -> None:
         """Close every pooled connection."""
         await self._pool.closeCachedConnections()
+
+    def _make_pool(self, persistent: bool) -> Any:
+        pool: Any = client.HTTPConnectionPool(self._reactor, persistent)
+        pool._factory = functools.partial(
+            _ConnectionFactory, budget=self.receive_budget
+        )
+        return pool
--- a/src/cairnloom/standins/atlas.py
+++ b/src/cairnloom/standins/atlas.py
@@ -22,6 +22,7 @@
 
 # Number of events in a streamed answer, and the time between two of them.
 EVENT_COUNT = 5
+LONG_BODY_BYTES = 20 * 1024 * 1024
 EVENT_SECONDS = 0.01
 # How long a crashed endpoint refuses connections.
 RESTART_SECONDS = 0.3
@@ -244,12 +245,18 @@
     - ``extra``: stray bytes after the answer
     - ``twice``: the answer is sent again on its connection, once the next
       request has arrived there
+    - ``long``: a body of LONG_BODY_BYTES with its length; ``long-cut`` ends
+      in its middle
     - ``cut``: the connection is closed in the middle of the body
     - ``tear``: a stream is reset in the middle of its third event
     - ``again``: the second event of a stream is sent twice
     - ``trickle``: a byte of a stream's second event now and then, without end
     - ``flood-head``: header lines without end, until the caller closes
-    - ``flood-body``: a body without end or events, until the caller closes
+    - ``flood-body``: a body without end or events, until the caller closes;
+      ``flood-failure`` has status 500, ``flood-refusal`` 503
+    - ``flood-chunks``: the same in chunks; ``flood-trailer`` sends trailers
+      without end after a chunk, ``flood-extension`` a chunk extension
+    - ``flood-interim``: interim heads (status 103) without end
     - ``unframed``: a body without a length, which ends with the connection
     - ``unframed-cut``: the same, reset before its end; streams are closed
       inside an event instead
@@ -640,15 +647,10 @@
         transport = request.channel.transport
         fields = self._answer_headers(received)
         lines = [b'%s: %s' % field for field in fields.items()]
+        if fault.startswith('flood'):
+            _Flood(transport, self._endpoint, fault, b'\r\n'.join(lines))
+            return
         transport.write(b'HTTP/1.1 200 OK\r\n%s\r\n' % b'\r\n'.join(lines))
-        match fault:
-            case 'flood-head':
-                _Flood(transport, self._endpoint, b'X-Flood: flood\r\n')
-                return
-            case 'flood-body':
-                transport.write(b'\r\n')
-                _Flood(transport, self._endpoint, b'data: flood\n')
-                return
         body = b'%s %s' % (self._endpoint.name.encode(), received.body)
         if 'text/event-stream' in received.header(b'Accept'):
             body = b''.join(
@@ -755,6 +757,11 @@
                     b'HTTP/1.1 200 OK\r\n%s\r\n%s' % (b''.join(lines), body)
                 )
                 request.reply(200, body, headers)
+            case 'long' | 'long-cut':
+                request.setHeader(b'content-length', b'%d' % LONG_BODY_BYTES)
+                for name, value in headers.items():
+                    request.setHeader(name, value)
+                _LongBody(request, fault == 'long')
             case 'cut':
                 request.setHeader(b'content-length', b'%d' % len(body))
                 for name, value in headers.items():
@@ -872,15 +879,62 @@
         return True
 
 
+class _LongBody:
+    """Sends LONG_BODY_BYTES, or half of them, as fast as they are read."""
+
+    def __init__(self, request: _Request, whole: bool) -> None:
+        self._request = request
+        self._whole = whole
+        self._remaining_bytes = LONG_BODY_BYTES // (1 if whole else 2)
+        request.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:
+        """Send the next bytes."""
+        if self._remaining_bytes:
+            count = min(65536, self._remaining_bytes)
+            self._remaining_bytes -= count
+            self._request.write(b'x' * count)
+            return
+        self._request.unregisterProducer()
+        if self._whole:
+            self._request.finish()
+        else:
+            self._request.channel.loseConnection()
+
+    def stopProducing(self) -> None:
+        """Do nothing; the request has ended."""
+
+
+_CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+# How the answers without end go on after their first header lines, and what
+# they repeat then.
+_FLOODS = {
+    'flood-head': (b'', b'X-Flood: flood\r\n'),
+    'flood-body': (b'\r\n', b'data: flood\n'),
+    'flood-chunks': (_CHUNKED, b'c\r\ndata: flood\n\r\n'),
+    'flood-trailer': (_CHUNKED + b'0\r\n', b'X-Flood: flood\r\n'),
+    'flood-extension': (_CHUNKED + b'c;a=', b'flood'),
+    'flood-interim': (b'', b'HTTP/1.1 103 Early Hints\r\n\r\n'),
+}
+_FLOOD_STATUSES = {'flood-failure': 500, 'flood-refusal': 503}
+
+
 class _Flood:
     """Sends bytes without end, as fast as the peer reads them."""
 
     def __init__(
-        self, transport: Any, endpoint: Endpoint, line: bytes
+        self, transport: Any, endpoint: Endpoint, fault: str, head: bytes
     ) -> None:
         self._transport = transport
         self._endpoint = endpoint
-        self._data = line * 1000
+        status = _FLOOD_STATUSES.get(fault, 200)
+        beginning, repeated = _FLOODS.get(fault, _FLOODS['flood-body'])
+        if fault == 'flood-refusal':
+            head += b'\r\n%s: 1' % names.NOT_RUN
+        if fault != 'flood-interim':
+            transport.write(b'HTTP/1.1 %d Flood\r\n%s\r\n' % (status, head))
+        transport.write(beginning)
+        self._data = repeated * 1000
         transport.unregisterProducer()
         transport.registerProducer(self, False)
 
--- a/tests/atlas_deployment.py
+++ b/tests/atlas_deployment.py
@@ -202,11 +202,13 @@
 class Deployment:
     """The stand-ins, and the hosts that a test has started among them.
 
-    ``fields`` replace defaults of the configuration. Methods take ``host`` as
-    an index into ``programs``.
+    ``fields`` replace defaults of the configuration, and ``memory_bytes`` is
+    the memory that each host may use. Methods take ``host`` as an index into
+    ``programs``.
     """
 
-    def __init__(self, endpoints, start=True, **fields):
+    def __init__(self, endpoints, start=True, memory_bytes=None, **fields):
+        self._memory_bytes = memory_bytes
         self.store = atlas.MetadataStore(reactor.seconds)
         self.cloud_api = atlas.CloudApi()
         self.endpoints = {endpoint.name: endpoint for endpoint in endpoints}
@@ -305,6 +307,7 @@
             cloud_api=settings.Address('127.0.0.1', self._cloud_api_port),
             duties=('usage_report', 'autoscale'),
             bounds=settings.Bounds(**bounds),
+            memory_bytes=self._memory_bytes,
         )
         host_program = run_in_reactor(
             program.Program,
@@ -456,6 +459,16 @@
                     versions.setdefault(stream, set()).add(received.software)
         return versions
 
+    def open_call(self, path, host=0):
+        """Send a caller's request, and return its connection unread."""
+        lines = ['POST %s HTTP/1.1' % path, 'Content-Length: 1']
+        lines += ['%s: %s' % item for item in self.headers().items()]
+        connection = socket.create_connection(
+            self.programs[host].address('callers'), timeout=3
+        )
+        connection.sendall('\r\n'.join([*lines, '', 'x']).encode())
+        return connection
+
     def raw(self, data, host=0, seconds=3.0, close=False):
         """Send bytes to a host and return all bytes that come back."""
         address = self.programs[host].address('callers')
@@ -489,14 +502,14 @@
 
 def read_body(response):
     """Return the bytes of a body, and whether it came in full."""
-    data = b''
+    data = bytearray()
     try:
         while part := response.read1():
             data += part
     except (http.client.HTTPException, ConnectionError):
-        return data, False
+        return bytes(data), False
     remaining_bytes = response.length
-    return data, not remaining_bytes
+    return bytes(data), not remaining_bytes
 
 
 def read_all(connection):
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -15,6 +15,7 @@
 from cairnloom.gateway import calls
 from cairnloom.gateway import dispatch
 from cairnloom.protocol import client
+from cairnloom.protocol import receive_budget
 from cairnloom.standins import atlas
 
 GET_HEAD = b'GET /open/ HTTP/1.1\r\nHost: service.example\r\nAttempt-Id: r\r\n'
@@ -157,8 +158,9 @@
 
 
 def test_gateway_does_not_collect_an_answer_without_end():
-    relay = calls._BodyRelay(None, buffered=True)
+    budget = receive_budget.ReceiveBudget(4 * client.MAX_REPLY_BYTES)
+    relay = calls._BodyRelay(None, buffered=True, budget=budget)
     for _ in range(2):
         relay.take(b'x' * client.MAX_REPLY_BYTES)
     assert relay.done.result is False
-    assert len(relay.body) <= 2 * client.MAX_REPLY_BYTES
+    assert relay.body.size <= 2 * client.MAX_REPLY_BYTES
