Let two hosts follow the store for all, others only in need

Callers and operators saw: each outage of the store, and each start of all hosts, turned every host into a client of the store.

Cause: a hub that had lost the store was no hub to its hosts any more, so each concluded for itself that it had to follow the store, and took part in all that followers do: both tables, the lease, the rows of hosts, its own usage parts. At a start each host is alone and therefore a hub.

Now a sync reply says how long ago the state was read from the store, whoever answers; entry/store_access.py decides who calls the store: two hosts; further ones two at a time, each time that the silence has doubled; a host that nobody answers at once. While the store is away only one source of a host is retried, and no lease, row or usage part. A host that was started with addresses of others reads the store at most once in its first 1.5 s, and not at all if it has a current state from another host by then.

--- a/src/cairnloom/entry/cluster_state.py
+++ b/src/cairnloom/entry/cluster_state.py
@@ -20,6 +20,8 @@
 from ..runtime import concurrency
 from ..runtime import logs
 
+from . import store_access
+
 # The pause after a failed call to the store. It is FIRST_PAUSE_SECONDS after
 # the first failure, and doubles with each further one up to
 # LONGEST_PAUSE_SECONDS.
@@ -95,9 +97,11 @@
 class ClusterState:
     """This host's copy of the configuration and the list of endpoints.
 
-    A hub that is connected to the store answers sync requests with its current
-    state. ``hub_synced_at`` is the time at which the latest of the requests
-    that were answered in this way was sent. ``reachable`` records for each
+    Other hosts answer sync requests with their state and how long ago it was
+    read from the store. ``hub_synced_at`` is the latest time at which this
+    state was known to be current, by such an answer or by a single read of all
+    rows, and ``connected_host`` the host that was connected to the store then,
+    if it is known. ``reachable`` records for each
     source whether the store answers calls for it. ``era`` is the store's
     latest known era, None if it is not known, and ``era_since`` the time at
     which this host learned of it. ``on_restored`` is called when the store has
@@ -111,6 +115,8 @@
         self.directory.on_ignored = _log_ignored_row
         self.reachable: dict[str, bool] = {}
         self.hub_synced_at = float('-inf')
+        self.connected_host = ''
+        self._read_at: dict[str, float] = {}
         self.on_removed: Callable[[instances.Instance], None] = lambda _: None
         self.era: int | None = None
         self.era_since = float('-inf')
@@ -135,13 +141,40 @@
     def is_up_to_date(self, now: float) -> bool:
         """Return whether the state is current.
 
-        It is if the store answers this host, or if a hub that is connected to
-        the store answered within HUB_ANSWER_VALID_SECONDS.
+        It is if the store answers this host, or if the state was read from it,
+        by any host, within HUB_ANSWER_VALID_SECONDS.
         """
-        return (
-            self.is_store_reachable()
-            or now - self.hub_synced_at < HUB_ANSWER_VALID_SECONDS
-        )
+        silence = self.measure_silence(now)
+        return silence is not None and silence < HUB_ANSWER_VALID_SECONDS
+
+    def measure_silence(self, now: float) -> float | None:
+        """Return how many seconds ago the state was known to be current.
+
+        Returns None if it never was.
+        """
+        if self.is_store_reachable():
+            return 0.0
+        silence = now - self.hub_synced_at
+        return silence if silence < float('inf') else None
+
+    def note_synced(
+        self, silence: float, connected_host: str, sent_at: float
+    ) -> None:
+        """Record that another host has answered with its state.
+
+        The request was ``sent_at`` that time, and the state read from the
+        store ``silence`` seconds before.
+        """
+        current_at = sent_at - silence
+        if current_at > self.hub_synced_at:
+            self.hub_synced_at = current_at
+            self.connected_host = connected_host
+
+    def note_read(self, source: str, sent_at: float) -> None:
+        """Record a single read of all rows of a source, and when it began."""
+        self._read_at[source] = sent_at
+        if self.is_ready() and len(self._read_at) == len(self.reachable):
+            self.note_synced(0.0, '', min(self._read_at.values()))
 
     def engine_spec(self, service: str) -> routes.EngineSpec:
         """Return the properties of a service's engines."""
@@ -223,6 +256,8 @@
             dropped_instance = directory.drop(change.name, change.version)
             if dropped_instance is not None:
                 self._note_removed(dropped_instance)
+        # With these changes, the list is the sender's complete one.
+        directory.loaded = directory.loaded or update.loaded
         directory.note_version(update.version)
 
     def note_leaving(
@@ -293,24 +328,33 @@
 
 
 class Follower:
-    """Keep the cluster state up to date with one source of the store."""
+    """Keep the cluster state up to date with one source of the store.
+
+    While the store does not answer, only ``probe``, another follower, calls
+    it, unless this host has read nothing yet. The pause between two calls is
+    between ``min_retry_delay`` and ``max_retry_delay`` then.
+    """
 
     def __init__(
         self,
         reactor: Any,
         source: Source,
         cluster_state: ClusterState,
+        probe: 'Follower | None' = None,
     ) -> None:
+        self._probe = probe
         self._reactor = reactor
         self._source = source
         self._cluster_state = cluster_state
         self._version: int | None = None
         self._era: int | None = None
         self._retry_delay = FIRST_PAUSE_SECONDS
+        self.min_retry_delay = FIRST_PAUSE_SECONDS
         self.max_retry_delay = LONGEST_PAUSE_SECONDS
         self._last_call_failed = False
         self._stopped = False
         self._active = True
+        self._reads_once = False
         self._activation: defer.Deferred[None] | None = None
         self._sent_at = float('-inf')
         self._pending_call: defer.Deferred[Update | None] | None = None
@@ -324,10 +368,20 @@
                 self._activation = defer.Deferred()
                 await self._activation
                 continue
+            if self._cluster_state.is_ready() and self._must_wait_for_probe():
+                await concurrency.sleep(self._reactor, FIRST_PAUSE_SECONDS)
+                continue
+            sent_at = self._reactor.seconds()
+            if self._reads_once and self._is_current(sent_at):
+                self.set_active(False)
+                continue
             try:
                 await self._run_round()
                 self._note_reachable(True)
                 self._retry_delay = FIRST_PAUSE_SECONDS
+                if self._reads_once and self._active:
+                    self._cluster_state.note_read(self._source.name, sent_at)
+                    self.set_active(False)
             except exceptions.CairnloomError as fault:
                 if self._active:
                     self._note_reachable(False, str(fault))
@@ -346,6 +400,13 @@
                 self._version = None
                 await self._back_off()
 
+    def set_mode(self, mode: store_access.Mode) -> None:
+        """Follow the source, read it once, or leave it alone."""
+        was_reading_once = self._reads_once
+        self._reads_once = mode is store_access.Mode.READ_ONCE
+        if not (self._reads_once and was_reading_once):
+            self.set_active(mode is not store_access.Mode.NONE)
+
     def set_active(self, active: bool) -> None:
         """Resume or suspend following."""
         if active == self._active:
@@ -394,9 +455,26 @@
         cluster.apply_update(update, self._reactor.seconds())
 
     async def _back_off(self) -> None:
-        delay = self._retry_delay * random.uniform(0.5, 1.0)
-        self._retry_delay = min(self.max_retry_delay, 2 * self._retry_delay)
-        await concurrency.sleep(self._reactor, delay)
+        retry_delay = max(self.min_retry_delay, self._retry_delay)
+        self._retry_delay = min(self.max_retry_delay, 2 * retry_delay)
+        await concurrency.sleep(
+            self._reactor, retry_delay * random.uniform(0.5, 1.0)
+        )
+        while self._active and self._must_wait_for_probe():
+            await concurrency.sleep(self._reactor, FIRST_PAUSE_SECONDS)
+
+    def _is_current(self, now: float) -> bool:
+        cluster = self._cluster_state
+        return cluster.is_ready() and cluster.is_up_to_date(now)
+
+    def _must_wait_for_probe(self) -> bool:
+        probe = self._probe
+        return (
+            probe is not None
+            and not self._stopped
+            and not probe._stopped
+            and not self._cluster_state.reachable[probe.source_name]
+        )
 
     async def _run_round(self) -> None:
         if self._version is None:
--- a/src/cairnloom/entry/hubs.py
+++ b/src/cairnloom/entry/hubs.py
@@ -1,10 +1,9 @@
 """Synchronization of hosts through hubs, and the handlers of peer calls.
 
-Hubs are hosts that follow the platform's store for the others. Every host asks
-a hub several times a second for changes to the configuration, the endpoints,
-the list of hosts and the requests that crash endpoints, and for the time. Hubs
-ask each other. A host that reaches no hub connected to the store follows the
-store itself.
+Every host asks a hub several times a second for changes to the configuration,
+the endpoints, the list of hosts and the requests that crash endpoints, and for
+the time. Hubs ask each other, and those that follow the platform's store most
+often. Which hosts follow it is decided in :mod:`.store_access`.
 """
 
 import base64
@@ -27,6 +26,7 @@
 from . import peers
 from . import relay
 from . import state
+from . import store_access
 from . import stream_origins
 
 # The interval between two synchronization rounds. Hubs sync with the other
@@ -44,14 +44,6 @@
 MAX_ATTEMPTS = 2
 # How many hosts that were found only in the store are asked in one round.
 UNKNOWN_HOSTS_PER_ROUND = 3
-# A host that has reached no hub connected to the store for this long follows
-# the store itself, and does so for at least MIN_FOLLOW_SECONDS.
-FOLLOW_AFTER_SECONDS = 1.0
-MIN_FOLLOW_SECONDS = 3.0
-# If there are many hosts and hubs answer that they have lost the store, a host
-# waits up to this much longer, each for another time. The store may reject the
-# hubs alone, which a few hosts detect for all.
-FOLLOW_SPREAD_SECONDS = 10.0
 # The store's time is taken only from answers whose round trip was shorter than
 # this, because a long round trip makes it inexact.
 MAX_CLOCK_ROUND_TRIP_SECONDS = 0.05
@@ -73,36 +65,34 @@
         self._peers = peer_client
         self._decode_document = decode_document
         self._clock = host.clock
-        self._follow_until = float('-inf')
         self._answered_at = float('-inf')
-        self._spread = self._members.hash_own_name()
         self._revisions: dict[str, tuple[int, int, int]] = {}
         self._unknown_hosts: dict[str, members.HostRow] = {}
         self._round_count = 0
 
-    def must_follow(self, now: float) -> bool:
-        """Return whether this host must follow the store itself."""
-        if self._members.is_hub():
-            return True
-        patience = FOLLOW_AFTER_SECONDS
-        if (
-            self._members.has_many_hosts()
-            and now - self._answered_at < FOLLOW_AFTER_SECONDS
-        ):
-            patience += FOLLOW_SPREAD_SECONDS * self._spread
-        if now - self._host.cluster_state.hub_synced_at > patience:
-            self._follow_until = now + MIN_FOLLOW_SECONDS
-        return now < self._follow_until
-
-    def is_synced(self, now: float) -> bool:
-        """Return whether a hub that is connected to the store answers."""
-        synced_at = self._host.cluster_state.hub_synced_at
-        return now - synced_at <= FOLLOW_AFTER_SECONDS
+    def observe_contact(self) -> store_access.Contact:
+        """Return what decides whether this host calls the store."""
+        return store_access.Contact(
+            self._members.find_store_place(),
+            self._members.is_alone(),
+            self._answered_at,
+            self._host.cluster_state.hub_synced_at,
+        )
 
     def reset_revisions(self) -> None:
         """Have the next round ask the hubs for their complete lists."""
         self._revisions.clear()
 
+    def forget_host_lists(self, kept_owner: str = '') -> None:
+        """Have the hubs list all hosts again, except the process given.
+
+        A host that was dropped may still be on their lists, and they would not
+        name it again until its row changes.
+        """
+        for owner, (directory, _, limits) in self._revisions.items():
+            if owner != kept_owner:
+                self._revisions[owner] = (directory, -1, limits)
+
     def queue_unknown_hosts(
         self, unknown_hosts: list[members.HostRow]
     ) -> None:
@@ -152,7 +142,7 @@
                 listed_hosts = self._members.list_running_hosts(now)
         return messages.SyncReply(
             owner=self._members.own_row.owner,
-            fresh=cluster.is_store_reachable() and cluster.is_ready(),
+            fresh=cluster.is_up_to_date(now) and cluster.is_ready(),
             document=document,
             directory=cluster.directory.revision,
             endpoints=cluster.build_peer_update(request.directory),
@@ -175,6 +165,12 @@
             changes=changed_hosts,
             era=cluster.era,
             acquittals=self._host.quarantine.list_acquittals(now),
+            silent_for=cluster.measure_silence(now),
+            connected=(
+                self._members.own_row.host
+                if cluster.is_store_reachable()
+                else cluster.connected_host
+            ),
         )
 
     async def _ask_unknown_hosts(self) -> None:
@@ -196,12 +192,27 @@
     async def _ask_hubs(self, now: float) -> None:
         targets = self._choose_hubs_of_round(now)
         if not self._host.cluster_state.is_store_reachable():
+            targets.extend(
+                row
+                for row in self._list_other_followers(now)
+                if row not in targets
+            )
             fallback_hub = self._choose_hub(now)
             if fallback_hub is not None and fallback_hub not in targets:
                 targets.append(fallback_hub)
         if targets:
             await self._ask_all(targets, self._host.exchange.make_message())
 
+    def _list_other_followers(self, now: float) -> list[members.HostRow]:
+        """Return the hosts that follow the store, apart from this one."""
+        followers = self._members.list_followers()[: store_access.FOLLOWERS]
+        return [
+            row
+            for row in followers
+            if row.host != self._members.own_row.host
+            and not self._members.is_avoided(row, now)
+        ]
+
     def _choose_hubs_of_round(self, now: float) -> list[members.HostRow]:
         """Return the other hubs whose turn it is.
 
@@ -264,7 +275,7 @@
     ) -> bool:
         """Send a sync request and apply the reply.
 
-        Returns whether the hub answered and is connected to the store.
+        Returns whether the hub answered with a current state.
         """
         host, sent_at = self._host, self._host.now()
         request = self._build_request(hub, sent_at, load)
@@ -285,7 +296,7 @@
         host.announcements.note_reported(reply.owner, request.leaving)
         if not reply.names_software:
             # A hub of an older build can't replace the store.
-            reply = dataclasses.replace(reply, fresh=False)
+            reply = dataclasses.replace(reply, fresh=False, silent_for=None)
         self._apply_reply(hub, reply, sent_at)
         if not reply.fresh:
             self._members.avoid(hub.host, host.now())
@@ -343,21 +354,26 @@
             reply.hosts,
             reply.limits,
         )
-        if reply.fresh and is_of_latest_era:
-            cluster.hub_synced_at = max(cluster.hub_synced_at, sent_at)
+        silence = 0.0 if reply.fresh else None
+        if reply.silent_for is not None:
+            silence = reply.silent_for
+        if silence is not None and is_of_latest_era:
+            cluster.note_synced(silence, reply.connected or hub.host, sent_at)
         host.quarantine.merge(reply.marks, now, reply.acquittals)
         host.crashing_parts.merge(reply.findings, now)
         host.rate_limits.merge(reply.limit_reports or [], now)
         if reply.speed is not None:
             host.endpoint_selector.speed.adopt(reply.speed)
-        self._apply_hosts(reply, now)
+        if self._apply_hosts(reply, now):
+            self.forget_host_lists(reply.owner)
         if now - sent_at < MAX_CLOCK_ROUND_TRIP_SECONDS:
             midpoint = (now + sent_at) / 2
             self._clock.set_store_time(reply.store_seconds, midpoint)
         if not self._members.is_hub():
             self._clock.set_true_time(reply.clock_ahead)
 
-    def _apply_hosts(self, reply: messages.SyncReply, now: float) -> None:
+    def _apply_hosts(self, reply: messages.SyncReply, now: float) -> bool:
+        """Apply a hub's list of hosts; return whether any was dropped."""
         if self._members.is_hub():
             if reply.changes is not None:
                 # A hub drops hosts by itself.
@@ -368,12 +384,14 @@
                 self._members.note_seen(
                     seen_host.row, now, seen_host.age, heard_directly=False
                 )
-        elif reply.rows is not None:
-            self._members.replace(reply.rows, now)
-        else:
-            if reply.changes is not None:
-                self._members.apply_changes(reply.changes, now)
-            self._members.refresh(now, reply.oldest)
+            return False
+        if reply.rows is not None:
+            return self._members.replace(reply.rows, now)
+        dropped = False
+        if reply.changes is not None:
+            dropped = self._members.apply_changes(reply.changes, now)
+        self._members.refresh(now, reply.oldest)
+        return dropped
 
 
 def rounds_per_sync(membership: members.Members) -> int:
--- a/src/cairnloom/entry/members.py
+++ b/src/cairnloom/entry/members.py
@@ -1,11 +1,11 @@
 """Membership of hosts: which hosts run, and which of them are hubs.
 
-Hubs follow the platform's store and pass changes on to the other hosts, so
-that the number of store calls does not grow with the number of hosts. Hosts
-are ranked by processor capacity. Hosts of equal capacity are ranked by age,
-but so that the failure domains take turns. The first hosts of this ranking are
-the hubs. Any host answers sync requests, hub or not, and a host that reaches
-no hub connected to the store follows the store itself.
+Two hubs follow the platform's store, and all hubs pass changes on to the other
+hosts, so that the number of store calls does not grow with the number of hosts
+(:mod:`.store_access`). Hosts are ranked by processor capacity. Hosts of equal
+capacity are ranked by age, but so that the failure domains take turns. The
+first hosts of this ranking are the hubs. Any host answers sync requests, hub
+or not.
 """
 
 import collections
@@ -13,6 +13,8 @@
 import hashlib
 import statistics
 
+from . import store_access
+
 # There is one hub for each HOSTS_PER_HUB hosts, but at least MIN_HUBS.
 MIN_HUBS = 3
 HOSTS_PER_HUB = 32
@@ -161,29 +163,35 @@
             or now - self._returned_at < RETURNED_HOST_WAIT_SECONDS
         )
 
-    def replace(self, rows: list[SeenHost], now: float) -> None:
+    def replace(self, rows: list[SeenHost], now: float) -> bool:
         """Replace the list of hosts by a hub's list.
 
-        Hosts that are missing from the hub's list are dropped.
+        Hosts that are missing from the hub's list are dropped. Returns whether
+        there were any.
         """
         listed_names = {seen_host.row.host for seen_host in rows}
-        for host in list(self._records):
-            if host not in listed_names:
-                self._drop(host, now)
+        dropped = [host for host in self._records if host not in listed_names]
+        for host in dropped:
+            self._drop(host, now)
         for seen_host in rows:
             self.note_seen(
                 seen_host.row, now, seen_host.age, heard_directly=False
             )
+        return bool(dropped)
 
-    def apply_changes(self, changes: HostChanges, now: float) -> None:
-        """Apply the changes of a hub's list of hosts."""
-        for host in changes.removed:
-            if host in self._records:
-                self._drop(host, now)
+    def apply_changes(self, changes: HostChanges, now: float) -> bool:
+        """Apply the changes of a hub's list; return whether any was dropped.
+
+        ``changes`` are those since the last reply of the same hub.
+        """
+        dropped = [host for host in changes.removed if host in self._records]
+        for host in dropped:
+            self._drop(host, now)
         for seen_host in changes.changed:
             self.note_seen(
                 seen_host.row, now, seen_host.age, heard_directly=False
             )
+        return bool(dropped)
 
     def refresh(self, now: float, max_age: float) -> None:
         """Record that another host has confirmed the same list of hosts.
@@ -269,6 +277,37 @@
         """Return whether this host is one of the hubs."""
         return any(row.host == self.own_row.host for row in self.hubs())
 
+    def list_followers(self) -> list[HostRow]:
+        """Return all hosts in the order in which they follow the store.
+
+        If there are many hosts, the first hub is busy placing their requests,
+        and the next ones follow the store before it.
+        """
+        ranking = self._rank_hosts()
+        if not self.has_many_hosts():
+            return ranking
+        followers = store_access.FOLLOWERS
+        return [
+            *ranking[1 : followers + 1],
+            ranking[0],
+            *ranking[followers + 1 :],
+        ]
+
+    def find_store_place(self) -> int | None:
+        """Return this host's place in the order of :meth:`list_followers`.
+
+        Returns None if this host leaves.
+        """
+        for place, row in enumerate(self.list_followers()):
+            if row.host == self.own_row.host:
+                return place
+        return None
+
+    def find(self, host: str) -> HostRow | None:
+        """Return the row of another running host."""
+        record = self._records.get(host)
+        return record.row if record else None
+
     def candidates(self, now: float) -> list[HostRow]:
         """Return the other hosts in the order in which to ask them.
 
@@ -292,13 +331,6 @@
         """Return whether a host failed recently and should be asked last."""
         return now < self._avoided_until.get(row.host, float('-inf'))
 
-    def hash_own_name(self) -> float:
-        """Return a fixed number below 1 that differs from host to host."""
-        digest = hashlib.blake2b(
-            self.own_row.host.encode(), digest_size=8
-        ).digest()
-        return int.from_bytes(digest, 'big') / 2**64
-
     def clock_ahead(self) -> float | None:
         """Return how far true time is ahead of the store's clock.
 
--- a/src/cairnloom/entry/messages.py
+++ b/src/cairnloom/entry/messages.py
@@ -71,7 +71,11 @@
 class SyncReply:
     """Changes that the sender of a :class:`SyncRequest` does not have.
 
-    ``fresh`` is set if the answering host is connected to the store itself.
+    ``fresh`` is set if the answering host has a current copy of the store's
+    rows, which was read from the store ``silent_for`` seconds ago; that is 0
+    if it is connected to the store itself, and None if it comes from a host of
+    an older build or was never read. ``connected`` names a host that is
+    connected to the store, if the answering host knows one.
     ``document`` is the encoded configuration in base64, if it is newer.
     ``owner`` identifies the process of the answering host. ``directory`` and
     ``hosts`` are the revisions of the lists in ``endpoints`` and ``rows``.
@@ -111,6 +115,8 @@
     acquittals: list[quarantine.Acquittal] = dataclasses.field(
         default_factory=list
     )
+    silent_for: float | None = None
+    connected: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -51,6 +51,7 @@
 from . import settings
 from . import state
 from . import status
+from . import store_access
 from . import stream_origins
 from . import upstream
 from . import version_records
@@ -78,9 +79,6 @@
 EXPIRE_INTERVAL_SECONDS = 0.25
 # How long it takes at most until all hosts know that an endpoint leaves.
 REPORT_DELAY_SECONDS = 1.0
-# While the store fails, a host that is not a hub pauses at most this long
-# between store calls. Hubs retry sooner and inform the other hosts.
-LONGEST_NON_HUB_PAUSE_SECONDS = 5.0
 # The maximum number of connections that wait to be accepted; further ones are
 # dropped.
 CONNECTION_BACKLOG = 512
@@ -239,6 +237,8 @@
             reactor.seconds,
             cluster.is_store_reachable,
             lambda: cluster.era,
+            lambda: self._calls_store or self._host.leaving,
+            lambda: cluster.connected_host,
         )
         self._relayed_runner = runner.Runner(relayed_table, reactor)
         self._registration = registration.Registration(
@@ -315,8 +315,11 @@
         ]
         self._ports: dict[str, Any] = {}
         self._followers: list[cluster_state.Follower] = []
-        self._follows_store = True
         self._started_at = reactor.seconds()
+        self._store_access = store_access.StoreAccess(
+            self._started_at, bool(host_settings.seeds)
+        )
+        self._store_mode = store_access.Mode.NONE
         self._hub_names: list[str] = []
 
     async def start(self) -> None:
@@ -351,10 +354,18 @@
         self._host.cluster_state.on_removed = self._note_removed
         for source in self._platform.sources:
             follower = cluster_state.Follower(
-                self._reactor, source, self._host.cluster_state
+                self._reactor,
+                source,
+                self._host.cluster_state,
+                self._followers[0] if self._followers else None,
             )
+            follower.set_mode(self._store_mode)
             self._followers.append(follower)
             cluster_state.run_task(follower.run())
+        self._update_store_mode()
+        self._reactor.callLater(
+            store_access.READ_DELAY_SECONDS, self._update_store_mode
+        )
         self._platform.store.on_era = self._note_era
         self._host.cluster_state.on_restored = self._note_recovery
         self._platform.store.on_recovery = self._note_recovery
@@ -529,7 +540,10 @@
     async def _register(self) -> None:
         host_registration, now = self._registration, self._host.now()
         await self._runner.drive(
-            host_registration.begin(now, self._hub_sync.is_synced(now)),
+            host_registration.begin(
+                now,
+                self._calls_store and not self._store_access.is_substitute,
+            ),
             lambda event: host_registration.step(event, self._host.now()),
         )
         self._hub_sync.queue_unknown_hosts(host_registration.unknown_hosts)
@@ -579,11 +593,12 @@
         for name in self._members.drop_silent_hosts(now):
             logs.log_event('host_gone', name=name)
             self._scheduler.release_host(name)
+            self._hub_sync.forget_host_lists()
         host.host_count = self._members.highest_count(now)
         if self._members.is_hub():
             host.clock.set_true_time(self._members.clock_ahead())
         self._log_hub_changes()
-        self._set_following(self._hub_sync.must_follow(now))
+        self._update_store_mode()
 
     def _log_hub_changes(self) -> None:
         names = [row.host for row in self._members.hubs()]
@@ -591,19 +606,35 @@
             self._hub_names = names
             logs.log_event('hubs', hubs=names, hosts=self._members.count())
 
-    def _set_following(self, follow_store: bool) -> None:
-        if follow_store != self._follows_store:
-            self._follows_store = follow_store
+    @property
+    def _follows_store(self) -> bool:
+        return self._store_mode is store_access.Mode.FOLLOW
+
+    @property
+    def _calls_store(self) -> bool:
+        """Whether this host follows the store, and the store answers.
+
+        While it does not, only the calls that follow it are repeated.
+        """
+        return self._follows_store and (
+            self._host.cluster_state.is_store_reachable()
+        )
+
+    def _update_store_mode(self) -> None:
+        mode = self._store_access.choose_mode(
+            self._hub_sync.observe_contact(), self._host.now()
+        )
+        if mode is not self._store_mode:
+            self._store_mode = mode
             logs.log_event(
-                'following', store=follow_store, hub=self._members.is_hub()
+                'store_mode', mode=mode.value, hub=self._members.is_hub()
             )
             self._hub_sync.reset_revisions()
-        retry_delay_limit = cluster_state.LONGEST_PAUSE_SECONDS
-        if not self._members.is_hub():
-            retry_delay_limit = LONGEST_NON_HUB_PAUSE_SECONDS
         for follower in self._followers:
-            follower.max_retry_delay = retry_delay_limit
-            follower.set_active(follow_store)
+            follower.set_mode(mode)
+            follower.min_retry_delay, follower.max_retry_delay = (
+                self._store_access.retry_delays
+            )
 
     async def _flush_usage(self) -> None:
         host = self._host
@@ -654,7 +685,7 @@
         )
 
     async def _run_leader_tasks(self) -> None:
-        if self._follows_store or self._leadership.authority() is not None:
+        if self._calls_store or self._leadership.authority() is not None:
             await self._leadership.keep()
         await self._leader_tasks.run_due(self._get_authority)
 
--- a/src/cairnloom/entry/registration.py
+++ b/src/cairnloom/entry/registration.py
@@ -1,9 +1,9 @@
 """Discovery of hosts: each host has a row in the store.
 
-A starting host writes its row and reads all rows, unless a hub answers it
-already. From then on the hubs inform it which hosts run. Hubs continue to read
-the rows at long intervals, so that groups of hosts that have no contact find
-each other. They also remove the rows of hosts that are gone.
+A host that follows the store writes its row and reads all rows. The other
+hosts learn from hubs which hosts run. Hubs that follow the store continue to
+read the rows at long intervals, so that groups of hosts that have no contact
+find each other. They also remove the rows of hosts that are gone.
 """
 
 from typing import Any
@@ -21,7 +21,7 @@
 # After each of the first EARLY_READS reads, the next one follows already after
 # EARLY_INTERVAL_SECONDS, because all hosts may be starting at once.
 EARLY_INTERVAL_SECONDS = 1.0
-EARLY_READS = 3
+EARLY_READS = 2
 READ_INTERVAL_SECONDS = 10.0
 # Hubs remove the row of a host that has not been heard from for this long.
 ROW_REMOVAL_SECONDS = 30.0
@@ -47,13 +47,14 @@
         self._unknown_since: dict[str, float] = {}
         self.unknown_hosts: list[members.HostRow] = []
 
-    def begin(self, now: float, is_synced: bool = False) -> list[Any]:
+    def begin(self, now: float, follows_store: bool = True) -> list[Any]:
         """Return the first actions of a round: a scan if one is needed.
 
-        A host that syncs with a hub needs no row, since only hubs read the
-        rows. So hosts that start together don't all call the store.
+        A host that does not follow the store needs no row, as others know it
+        from its synchronization. So hosts that start together don't all call
+        the store.
         """
-        if is_synced and not self._members.is_hub():
+        if not follows_store:
             return []
         new_row = members.strip_clock(self._members.own_row)
         is_read_due = now >= self._next_read_at and self._members.is_hub()
--- a/src/cairnloom/entry/relay.py
+++ b/src/cairnloom/entry/relay.py
@@ -2,8 +2,8 @@
 
 A usage part is one host's usage in one window. A hub writes the parts of many
 hosts in one transaction, so that the number of store calls does not grow with
-the number of hosts. A host that reaches no hub connected to the store writes
-its own parts.
+the number of hosts. While no hub is connected to the store, only hosts that
+follow it themselves write their own parts; the others try again later.
 """
 
 import dataclasses
@@ -145,7 +145,9 @@
     """Access to the store, directly or through a hub.
 
     A hub that reaches the store calls it directly. Other hosts commit through
-    a hub, and call the store themselves if no hub is connected to it.
+    a hub. If none is connected to the store, they call it themselves if
+    ``may_call_store`` returns true. ``read_connected`` returns the name of a
+    host that was connected to the store recently, '' if none is known.
     ``read_era`` returns the store's era, None if it is not known; hubs of
     older builds leave it out of their answers.
     """
@@ -158,7 +160,11 @@
         read_clock: Callable[[], float],
         is_store_reachable: Callable[[], bool],
         read_era: Callable[[], int | None] = lambda: None,
+        may_call_store: Callable[[], bool] = lambda: True,
+        read_connected: Callable[[], str] = lambda: '',
     ) -> None:
+        self._may_call_store = may_call_store
+        self._read_connected = read_connected
         self._table = table
         self._members = membership
         self._peers = peer_client
@@ -185,6 +191,8 @@
                 return expression.Ok(dataclasses.replace(row, era=era))
             except exceptions.PlatformError as fault:
                 self._note_failure(hub, fault)
+        if not self._may_call_store():
+            return expression.Error(_make_unreached_error())
         return await self._table.read(key)
 
     async def commit(self, transaction: rows.Transaction) -> CommitResult:
@@ -197,6 +205,8 @@
             result = await self._relay(hub, transaction)
             if result.is_ok() or result.error.outcome_unknown:
                 return result
+        if not self._may_call_store():
+            return expression.Error(_make_unreached_error())
         return await self._table.commit(transaction)
 
     async def _relay(
@@ -231,15 +241,27 @@
     def _choose_hosts(self) -> list[members.HostRow]:
         """Return the hosts to call in turn.
 
-        All hosts call the same one first, so that it can join many parts into
-        one store call. If there are many hosts, it is not the one that places
-        their model work.
+        All hosts call the same one first, the first that follows the store, so
+        that it can join many parts into one store call. A host that was
+        connected to the store recently comes next.
         """
         now = self._read_clock()
-        candidates = self._members.candidates(now)
-        first_hub = next(iter(self._members.hubs()), None)
-        if self._members.has_many_hosts() and candidates[0] == first_hub:
-            candidates = [*candidates[1:MAX_ATTEMPTS], candidates[0]]
-        return [
-            row for row in candidates if not self._members.is_avoided(row, now)
+        candidates = [
+            row
+            for row in self._members.list_followers()
+            if row.host != self._members.own_row.host
+            and not self._members.is_avoided(row, now)
         ][:MAX_ATTEMPTS]
+        connected = self._members.find(self._read_connected())
+        if (
+            connected is None
+            or connected in candidates[:1]
+            or self._members.is_avoided(connected, now)
+        ):
+            return candidates
+        others = [row for row in candidates if row != connected]
+        return [*others[:1], connected, *others[1:]][:MAX_ATTEMPTS]
+
+
+def _make_unreached_error() -> exceptions.PlatformError:
+    return exceptions.PlatformError('no host is connected to the store')
--- a/src/cairnloom/routing/instances.py
+++ b/src/cairnloom/routing/instances.py
@@ -225,6 +225,8 @@
                 dropped_instances.append(entry.instance)
                 self._drop_entry(name, as_of)
             else:
+                # Hosts that have not read the listing may still pass it on.
+                self._removed_versions[name] = as_of
                 self._mark_missing(name, now)
         self.loaded = True
         return dropped_instances
--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -23,6 +23,7 @@
 from cairnloom.entry import registration
 from cairnloom.entry import relay
 from cairnloom.entry import scheduler_client
+from cairnloom.entry import store_access
 from cairnloom import exceptions
 from cairnloom.protocol import server
 from cairnloom.standins import atlas
@@ -485,6 +486,7 @@
     The first of them is the only hub.
     """
     monkeypatch.setattr(members, 'MIN_HUBS', 1)
+    monkeypatch.setattr(store_access, 'FOLLOWERS', 1)
     deployments = []
 
     def start(count, *endpoints, **options):
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -56,6 +56,18 @@
     assert list_ready_names(directory) == []
 
 
+def test_missing_entry_is_not_brought_back_by_other_hosts():
+    """Guards against endpoints that stay listed after a restore (DRAIN)."""
+    directory = make_directory(instances.InstanceChange('i-1', 1, INSTANCE))
+    directory.forget_versions()
+    directory.note_outage(0.0)
+    directory.replace([], 0.5, 13)
+    directory.apply(instances.InstanceChange('i-1', 0, INSTANCE), 1.0)
+    assert [instance.name for instance in directory.expire(10.0)] == ['i-1']
+    directory.apply(instances.InstanceChange('i-1', 14, INSTANCE), 11.0)
+    assert list_ready_names(directory) == ['i-1']
+
+
 def test_entry_missing_after_an_outage_is_kept_for_the_grace_time():
     directory = make_directory(instances.InstanceChange('i-1', 1, INSTANCE))
     directory.note_outage(10.0)
