Retry the store sooner where it is followed for all

Cause: the two pauses of up to 2 s between calls, where seven hosts had called at different times before. The pause is 1 s at most now, and the first one 0.4 s.

--- a/src/cairnloom/entry/store_access.py
+++ b/src/cairnloom/entry/store_access.py
@@ -1,9 +1,9 @@
 """Decision of a host whether it calls the store itself.
 
-Called by :mod:`.hubs` in each synchronization round. Two hosts follow the
-store for all; the others receive from hubs what has changed, and how long ago
-that was last read from the store. Only if this becomes too long ago do further
-hosts call the store, and only a few at a time.
+Called in each synchronization round. Two hosts follow the store for all; the
+others receive from hubs what has changed, and how long ago that was last read
+from the store. Only if this becomes too long ago do further hosts call the
+store, and only a few at a time.
 
 Load patterns: the store refuses or answers nobody, and all hosts notice it at
 once; the store rejects only some hosts, those that follow it among them; all
@@ -28,7 +28,7 @@
 MIN_FOLLOW_SECONDS = 3.0
 # The shortest and the longest pause after a failed call to the store, for the
 # hosts that follow it for all, and for those that do so in their place.
-RETRY_SECONDS = (0.2, 2.0)
+RETRY_SECONDS = (0.4, 1.0)
 SUBSTITUTE_RETRY_SECONDS = (4.0, 8.0)
 
 
