--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -507,7 +507,7 @@
     deployment.store.rejected = {'edge-%d' % number for number in range(73)}
     # Until all hosts have chosen their mode after START_SECONDS.
     begin, end = deployment.run(0.5 + store_access.START_SECONDS)
-    assert deployment.store.count(begin, end) <= 6 * 73
+    assert deployment.store.count(begin, end) <= 5 * 73
     begin, end = deployment.run(5.0)
     assert deployment.store.count(begin, end) <= allow_calls(73, 5.0)
     deployment.recover()
