Refuse answers whose heads break the grammar

Callers got such answers as if they were sound. On (untouched source) a once-only request whose endpoint sent "HTTP/1.1 000 OK" was answered "HTTP/1.1 0 Unknown Status" with the endpoint's body; "2_00" came through as 200 and 999 as 999; a control byte in a value, a folded line and a bare line feed were passed on as lines of the answer; after an informational head with a length, "strayHTTP/1.1 200 OK" was read as a status line.

Cause: nothing of ours checked a head. Twisted's parser takes any status that int() takes, any protocol name, any byte in values, bare line feeds, folded lines, any informational head. Readers look at the id, the signature and the value of the status only, so that an answer that is wrong elsewhere passed.

A usage report that was answered 000 counted as sent.

Handled before, tests kept: a blank or a control byte in the name of a field. Twisted rejects such names, so no caller got the answer (502, or another endpoint's answer).

Why it works: every connection of every client is a BoundedConnection, which now checks each byte of a head, informational heads too, before its parser gets it. A head that breaks the grammar ends the request as one that may have run, and aborts the connection, so that nothing of it is used: no status, no header, no announcement.

--- a/src/cairnloom/protocol/client.py
+++ b/src/cairnloom/protocol/client.py
@@ -24,6 +24,7 @@
 
 from . import receive_budget
 from . import resolver
+from . import response_heads
 from . import sockets
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -199,9 +200,11 @@
 
 
 class BoundedConnection(_newclient.HTTP11ClientProtocol):
-    """A connection with TCP keepalive that bounds the size of heads.
+    """A connection with TCP keepalive that checks the heads of responses.
 
-    If the head of a response has more than MAX_HEAD_BYTES, or the budget for
+    If a head breaks the grammar, the connection is aborted, and the request
+    fails with a :class:`~cairnloom.exceptions.ProtocolError` as its reason.
+    If a head has more than MAX_HEAD_BYTES, or the budget for
     unfinished replies requires it, the connection is aborted and
     ``head_too_large`` is set. Bytes of chunked bodies that are no content,
     such as trailers, are counted in the budget too.
@@ -217,6 +220,7 @@
     ) -> None:
         super().__init__(on_idle)
         self.head_too_large = False
+        self._head_reader = response_heads.HeadReader()
         self._head_bytes = 0
         self._reservation = budget.reserve(self._abort_head)
 
@@ -224,7 +228,19 @@
         super().connectionMade()
         sockets.enable_keepalive(self.transport)
 
+    def request(self, request: Any) -> defer.Deferred[Any]:
+        """Send a request; the deferred fires with the response."""
+        self._head_reader = response_heads.HeadReader()
+        return super().request(request)
+
     def dataReceived(self, data: bytes) -> None:
+        try:
+            self._head_reader.feed(data)
+        except exceptions.ProtocolError:
+            self._giveUp(failure.Failure())
+            # The rest of the request would have to be sent otherwise.
+            self.transport.abortConnection()
+            return
         parser = self._parser
         super().dataReceived(data)
         if self._parser is None:
--- a/src/cairnloom/standins/fleet.py
+++ b/src/cairnloom/standins/fleet.py
@@ -29,7 +29,10 @@
 
 
 class StandinFleet:
-    """The endpoints that the stand-in runs in the platform's place."""
+    """The endpoints that the stand-in runs in the platform's place.
+
+    ``listed_entries`` are listed with them, and run by somebody else.
+    """
 
     def __init__(
         self, clock: Any, standin_settings: settings.StandinSettings
@@ -39,6 +42,7 @@
         self._endpoints: dict[str, _RunningEndpoint] = {}
         self._started_count = 0
         self._seen_orders: set[str] = set()
+        self.listed_entries: list[services.EndpointEntry] = []
         self.orders: list[services.PlatformOrder] = []
         self.refuse_cheap = False
         self.crashes = 0
@@ -175,6 +179,7 @@
         self, request: server.JsonRequest
     ) -> server.JsonResponse:
         entries = [self._entry_of(item) for item in self._endpoints.values()]
+        entries += self.listed_entries
         return server.JsonResponse(
             codec.encode(services.EndpointList(entries))
         )
--- a/src/cairnloom/standins/program.py
+++ b/src/cairnloom/standins/program.py
@@ -41,6 +41,8 @@
       leaves
     - ``pausing_endpoint``: the endpoint that turns requests away and asks for
       a pause of ``retry_after``; it takes them again if that is empty
+    - ``listed_endpoint``: an endpoint that is listed in addition, and runs
+      elsewhere
     - ``service_delay_seconds``: the delay of the answers of all services
     """
 
@@ -58,6 +60,7 @@
     leaving_endpoint: str | None = None
     pausing_endpoint: str | None = None
     retry_after: str = ''
+    listed_endpoint: services.EndpointEntry | None = None
     service_delay_seconds: float | None = None
 
 
@@ -166,6 +169,8 @@
             self.fleet.resource(
                 requested_faults.pausing_endpoint
             ).retry_after = requested_faults.retry_after
+        if requested_faults.listed_endpoint is not None:
+            self.fleet.listed_entries.append(requested_faults.listed_endpoint)
         if requested_faults.service_delay_seconds is not None:
             for endpoint_resource in self._services():
                 endpoint_resource.delay_seconds = (
--- a/tests/atlas_deployment.py
+++ b/tests/atlas_deployment.py
@@ -25,6 +25,7 @@
 from cairnloom.runtime import clock
 from cairnloom.standins import atlas
 from cairnloom.standins import links
+from cairnloom.standins import raw_server
 
 reactor = clock.install()
 _REACTOR_THREAD = threading.Thread(
@@ -252,6 +253,17 @@
         self.endpoints[endpoint.name] = endpoint
         run_in_reactor(self._open_endpoint, endpoint)
 
+    def add_raw_endpoint(self, endpoint, *answers):
+        """Add an endpoint that writes prepared bytes; return its server."""
+        server = raw_server.RawServer(
+            reactor, names.REQUEST_ID.decode(), *answers
+        )
+        endpoint.port = run_in_reactor(self._listen, server)
+        self._endpoint_ports.add(endpoint.port)
+        self.endpoints[endpoint.name] = endpoint
+        self.put_row(endpoint.name)
+        return server
+
     def put_row(self, name, state='ready'):
         """Write the row of an endpoint again."""
         row = self.endpoints[name].row(state)
@@ -394,13 +406,19 @@
         headers = self.headers(**extra_headers)
         return self._exchange(address, method, path, body, headers)
 
-    def ask_model(self, path='/chat/x', parts='aa:100,bb:50', **extra_headers):
+    def ask_model(
+        self,
+        path='/chat/x',
+        parts='aa:100,bb:50',
+        body=b'prompt',
+        **extra_headers,
+    ):
         """Send a caller's request to a model, with these prompt parts."""
         tokens = sum(int(part.split(':')[1]) for part in parts.split(','))
         return self.call(
             path,
             'POST',
-            b'prompt',
+            body,
             Accept='text/event-stream',
             Model='m',
             Token_Count='%d,20' % tokens,
--- /dev/null
+++ b/tests/test_broken_heads.py
@@ -0,0 +1,91 @@
+"""Answers whose heads break the grammar, at the one-process program.
+
+All else in such an answer is right. It is no answer: its endpoint is blamed,
+and the request is sent again only if it may run twice.
+"""
+
+import atlas_deployment
+import heads
+import pytest
+import raw_answers
+
+from cairnloom.standins import raw_server
+
+EVENTS = raw_answers.EVENTS
+EVENTS_LENGTH = b'Content-Length: %d' % len(EVENTS)
+SOUND_ANSWER = raw_server.RawAnswer(heads.make_head('entry') + heads.BODY)
+SOUND_STREAM = raw_server.RawAnswer(
+    heads.make_head('entry', length=EVENTS_LENGTH) + EVENTS
+)
+
+
+@pytest.fixture(scope='module')
+def deploy():
+    yield from atlas_deployment.run_deployments()
+
+
+@pytest.fixture(scope='module')
+def desks(deploy):
+    deployment = deploy(hosts=0)
+    return raw_answers.Endpoints(deployment, 'desk', SOUND_ANSWER)
+
+
+@pytest.fixture(scope='module')
+def engines(deploy):
+    deployment = deploy(hosts=0)
+    return raw_answers.Endpoints(
+        deployment, 'model', SOUND_STREAM, role='decode'
+    )
+
+
+@pytest.mark.parametrize(
+    'head',
+    heads.list_broken_heads('entry')
+    + heads.list_heads_of_broken_length('entry'),
+)
+def test_broken_head_is_no_answer(desks, head):
+    broken = raw_server.RawAnswer(head + heads.BODY)
+    desks.play(broken)
+    answer = desks.deployment.call('/safe/', 'POST', desks.make_body())
+    assert (answer.status, answer.body) == (200, heads.BODY)
+    assert not {'x-odd', 'x odd', 'x'} & set(answer.headers)
+    assert sorted(desks.list_requests()) == ['desk-0', 'desk-1']
+    desks.wait_for_blame(1)
+
+    desks.play(broken)
+    answer = desks.deployment.call('/once/', 'POST', desks.make_body())
+    assert answer.status == 502
+    assert len(desks.list_requests()) == 1
+    desks.wait_for_blame(1)
+    assert desks.list_blamed() == desks.list_requests()
+
+
+@pytest.mark.parametrize(
+    'head', heads.list_broken_heads('entry', EVENTS_LENGTH)
+)
+def test_broken_head_begins_no_stream(engines, head):
+    broken = raw_server.RawAnswer(head + EVENTS)
+    engines.play(broken)
+    answer = engines.deployment.ask_model(
+        '/resume/x', body=engines.make_body()
+    )
+    assert (answer.status, answer.body) == (200, EVENTS)
+    assert sorted(engines.list_requests()) == ['model-0', 'model-1']
+    engines.wait_for_blame(1)
+
+    engines.play(broken)
+    answer = engines.deployment.ask_model('/chat/x', body=engines.make_body())
+    assert answer.status == 502
+    assert len(engines.list_requests()) == 1
+    engines.wait_for_blame(1)
+    assert engines.list_blamed() == engines.list_requests()
+
+
+@pytest.mark.parametrize('head', heads.list_sound_heads('entry'))
+def test_sound_head_is_accepted(desks, head):
+    desks.play(raw_server.RawAnswer(head + heads.BODY))
+    answer = desks.deployment.call('/once/', 'POST', desks.make_body())
+    assert 200 <= answer.status < 300
+    assert answer.body == heads.BODY
+    assert len(desks.list_requests()) == 1
+    assert desks.list_blamed() == []
