Do not take a broken head for a lost connection

Callers whose requests met endpoints with broken heads were refused for minutes: after four attempts at two endpoints the request counted as one that crashes endpoints, and sound endpoints were not tried (test_request_is_not_blamed_*: 502 instead of 200). At a host that is cut off, and whose requests another host passes on, the endpoint with the broken head was not blamed at all (test_broken_head_is_not_passed_between_hosts).

Cause: whatever went wrong before the head was complete was reported as a lost connection, also when the parser had rejected what it read. A lost connection is judged as a crash: the request is marked, and the endpoint is blamed only if this host cannot be the one that is cut off.

Why it works: the grammar's error is found among the reasons of the failure, and passed on as an error without connection_lost, which is the outcome of other broken answers such as a missing signature: the endpoint is blamed at once, the request may have run, and no crash is recorded.

--- a/src/cairnloom/entry/upstream.py
+++ b/src/cairnloom/entry/upstream.py
@@ -308,6 +308,11 @@
                 raise exceptions.EndpointError(
                     'head too large', True
                 ) from fault
+            protocol_error = http_client.find_protocol_error(fault)
+            if protocol_error is not None:
+                raise exceptions.EndpointError(
+                    str(protocol_error), True
+                ) from fault
             raise exceptions.EndpointError(
                 _describe(fault), True, connection_lost=True
             ) from fault
--- a/src/cairnloom/protocol/client.py
+++ b/src/cairnloom/protocol/client.py
@@ -335,6 +335,21 @@
     return any(reason.check(defer.CancelledError) for reason in reasons)
 
 
+def find_protocol_error(
+    fault: BaseException,
+) -> exceptions.ProtocolError | None:
+    """Return how the answer broke the protocol, if a request failed by that.
+
+    Such a failure is no lost connection: the server is there, and has
+    answered.
+    """
+    for reason in getattr(fault, 'reasons', ()):
+        if reason.check(exceptions.ProtocolError):
+            protocol_error: exceptions.ProtocolError = reason.value
+            return protocol_error
+    return None
+
+
 def _cancel_at_timeout(
     response_deferred: defer.Deferred[Any], timed_out: list[bool]
 ) -> None:
@@ -408,6 +423,11 @@
                 ) from fault
             if is_cancelled(fault):
                 raise defer.CancelledError() from fault
+            protocol_error = find_protocol_error(fault)
+            if protocol_error is not None:
+                raise exceptions.TransportError(
+                    str(protocol_error), True
+                ) from fault
             may_have_been_sent = not isinstance(fault, _NOTHING_SENT_ERRORS)
             reason = type(fault).__name__
             raise exceptions.TransportError(
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -89,3 +89,57 @@
     assert answer.body == heads.BODY
     assert len(desks.list_requests()) == 1
     assert desks.list_blamed() == []
+
+
+@pytest.mark.parametrize('path', ['/safe/', '/once/'])
+def test_request_is_not_blamed_for_broken_heads(desks, path):
+    """Its endpoints have answered, so that it has crashed none of them."""
+    body = desks.make_body()
+    broken = raw_server.RawAnswer(
+        heads.make_head('entry', b'HTTP/1.1 000 OK') + heads.BODY
+    )
+    for _ in range(4):
+        desks.play(broken, broken)
+        assert desks.deployment.call(path, 'POST', body).status == 502
+    desks.play()
+    answer = desks.deployment.call(path, 'POST', body)
+    assert (answer.status, answer.body) == (200, heads.BODY)
+
+
+@pytest.mark.parametrize(
+    'status_line, line',
+    [
+        (b'HTTP/1.1 000 OK', b''),
+        (heads.STATUS_LINE, b'X Odd: 1'),
+        (heads.STATUS_LINE, b'X-Odd: \x00'),
+    ],
+)
+def test_broken_head_is_not_passed_between_hosts(deploy, status_line, line):
+    """A host that is cut off sends its requests through another one."""
+    deployment = deploy(hosts=0)
+    endpoints = raw_answers.Endpoints(deployment, 'desk', SOUND_ANSWER)
+    deployment.start_host('host-2')
+    atlas_deployment.wait_for(
+        lambda: all(
+            host_program._members.count() == 2
+            for host_program in deployment.programs
+        ),
+        atlas_deployment.FIND_SECONDS,
+    )
+    deployment.cut(0, 'reset')
+    broken = raw_server.RawAnswer(
+        heads.make_head('entry', status_line, line) + heads.BODY
+    )
+    endpoints.play()
+    assert deployment.call('/safe/', 'POST', b'x').status == 200
+    endpoints.play(broken)
+    answer = deployment.call('/safe/', 'POST', endpoints.make_body())
+    assert (answer.status, answer.body) == (200, heads.BODY)
+    assert len(endpoints.list_requests()) == 2
+    endpoints.wait_for_blame(1)
+
+    endpoints.play(broken)
+    answer = deployment.call('/once/', 'POST', endpoints.make_body())
+    assert answer.status == 502
+    assert len(endpoints.list_requests()) == 1
+    endpoints.wait_for_blame(1)
--- a/tests/test_broken_replies.py
+++ b/tests/test_broken_replies.py
@@ -156,9 +156,9 @@
     """Check that a request with a broken answer may have been carried out."""
     match fault:
         case exceptions.TransportError():
-            assert fault.may_have_been_sent
+            assert fault.may_have_been_sent and not fault.connection_lost
         case exceptions.EndpointError():
-            assert fault.may_have_run
+            assert fault.may_have_run and not fault.connection_lost
         case exceptions.PlatformError():
             assert fault.outcome_unknown
         case _:
