Reject trailers that break the grammar

Callers and the clients of other processes took an answer in chunks for whole although its trailers were no field lines, such as "X Odd: 1", a name with a control byte, a bare line feed, or the status line of another answer.

Cause: Twisted's decoder collects the bytes up to the blank line and never looks at them.

Evidence, on the commit before: 9 of 9 broken trailers were read as whole answers by the client of other processes (test_reply_with_a_broken_trailer_is_not_whole), and 9 of 9 passed for a plain request at the entry host (test_answer_with_a_broken_trailer_is_not_whole).

Why it works: the decoder of every connection checks each trailer by the rule for the lines of a head before it is accepted. The body then has no end, so it is not complete, and its connection is closed.

After: all pass, and sound trailers still do.

--- a/src/cairnloom/protocol/client.py
+++ b/src/cairnloom/protocol/client.py
@@ -208,12 +208,23 @@
         return await collector.done
 
 
+class _ChunkDecoder(http._ChunkedTransferDecoder):
+    """Decodes chunks, and rejects trailers that are no field lines."""
+
+    def _dataReceived_TRAILER(self) -> bool:
+        end = self._buffer.find(b'\r\n', self._start)
+        if end > 0:
+            response_heads.check_field_line(bytes(self._buffer[:end]))
+        return super()._dataReceived_TRAILER()
+
+
 @implementer(interfaces.IHalfCloseableProtocol)
 class BoundedConnection(_newclient.HTTP11ClientProtocol):
     """A connection with TCP keepalive that checks the heads of responses.
 
     If a head breaks the grammar, the connection is aborted, and the request
-    fails with a :class:`~cairnloom.exceptions.ProtocolError` as its reason.
+    fails with a :class:`~cairnloom.exceptions.ProtocolError` as its reason. A
+    body whose trailers break it is not complete.
 
     A body without a length or chunks is complete if the peer has closed its
     side in order and takes the whole request without a reset. It then ends as
@@ -250,7 +261,10 @@
         self._head_reader = response_heads.HeadReader()
         body = request.bodyProducer
         self._is_long_request = bool(body) and body.length > SHORT_BODY_BYTES
-        return super().request(request)
+        response_deferred = super().request(request)
+        if self._parser is not None:
+            self._parser._transferDecoders = {b'chunked': _ChunkDecoder}
+        return response_deferred
 
     def dataReceived(self, data: bytes) -> None:
         try:
--- a/tests/heads.py
+++ b/tests/heads.py
@@ -132,6 +132,17 @@
     b'HTTP/1.1 103 Early Hints\r\n\r\n\r\n',
     b'\r\n',
 ]
+BROKEN_TRAILERS = [
+    b'X Odd: 1',
+    b'X-Odd : 1',
+    b'X-Odd',
+    b': 1',
+    b'X\x00Odd: 1',
+    b'X-Odd: a\x00b',
+    b'X-Odd: 1\r\n folded',
+    b'X-Odd: 1\nX-Even: 2',
+    b'HTTP/1.1 200 OK',
+]
 SOUND_STATUS_LINES = [
     b'HTTP/1.1 200 ',
     b'HTTP/1.1 200 Fine \xe4\t(really)',
@@ -214,6 +225,22 @@
     ]
 
 
+def list_broken_trailers(door):
+    """Return cases of whole answers in chunks, with a broken trailer."""
+    return _make_cases(
+        'trailer',
+        BROKEN_TRAILERS,
+        lambda line: make_chunked_answer(door, line + b'\r\n'),
+    )
+
+
+def make_chunked_answer(door, trailer=b''):
+    """Return an answer with BODY in chunks."""
+    head = make_head(door, length=CHUNKED)
+    chunk = b'%x\r\n%s\r\n' % (len(BODY), BODY)
+    return b'%s%s0\r\n%s\r\n' % (head, chunk, trailer)
+
+
 def list_sound_heads(door):
     """Return cases of sound heads of answers with BODY."""
     sound_head = make_head(door)
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -91,6 +91,29 @@
     assert desks.list_blamed() == []
 
 
+@pytest.mark.parametrize('data', heads.list_broken_trailers('entry'))
+def test_answer_with_a_broken_trailer_is_not_whole(desks, data):
+    broken = raw_server.RawAnswer(data)
+    desks.play(broken)
+    answer = desks.deployment.call('/safe/', 'POST', desks.make_body())
+    assert (answer.status, answer.body) == (200, heads.BODY)
+    assert sorted(desks.list_requests()) == ['desk-0', 'desk-1']
+    desks.wait_for_blame(1)
+
+    desks.play(broken)
+    answer = desks.deployment.call('/once/', 'POST', desks.make_body())
+    assert answer.status == 502
+    assert len(desks.list_requests()) == 1
+
+
+def test_answer_with_a_sound_trailer_is_whole(desks):
+    data = heads.make_chunked_answer('entry', b'X-Even: 1\r\nX-Odd:\r\n')
+    desks.play(raw_server.RawAnswer(data))
+    answer = desks.deployment.call('/once/', 'POST', desks.make_body())
+    assert (answer.status, answer.body) == (200, heads.BODY)
+    assert len(desks.list_requests()) == 1
+
+
 @pytest.mark.parametrize('path', ['/safe/', '/once/'])
 def test_request_is_not_blamed_for_broken_heads(desks, path):
     """Its endpoints have answered, so that it has crashed none of them."""
--- a/tests/test_broken_replies.py
+++ b/tests/test_broken_replies.py
@@ -217,3 +217,20 @@
 def test_sound_head_is_read(serve, http, reader, head):
     server = serve(raw_server.RawAnswer(head + heads.BODY))
     assert raw_answers.find_fault(reader, http, server) is None
+
+
+@pytest.mark.parametrize('data', heads.list_broken_trailers('gateway'))
+def test_reply_with_a_broken_trailer_is_not_whole(serve, http, data):
+    server = serve(raw_server.RawAnswer(data))
+    fault = raw_answers.find_fault(read_whole_reply, http, server)
+    assert isinstance(fault, exceptions.TransportError)
+    assert fault.may_have_been_sent
+
+
+def test_reply_with_a_sound_trailer_is_whole(serve, http):
+    server = serve(
+        raw_server.RawAnswer(
+            heads.make_chunked_answer('gateway', b'X-Even: 1\r\n')
+        )
+    )
+    assert raw_answers.find_fault(read_whole_reply, http, server) is None
