Do not take broken chunks for a lost connection

Callers whose requests met answers with broken chunks or trailers were refused later as if the requests crashed endpoints: 503 or 502 instead of the answer of a sound endpoint (test_request_is_not_blamed_for_broken_answers).

Cause: a body that is not complete counted as one whose connection was lost, also when the decoder had rejected it. The endpoint had not ended.

Why it works: the end of a body keeps how it broke the protocol, as the failure of a head does, and both front doors report the attempt without a lost connection then: the endpoint is blamed, the request may have run.

--- a/src/cairnloom/entry/attempts.py
+++ b/src/cairnloom/entry/attempts.py
@@ -209,7 +209,7 @@
     if response.too_large:
         return outcomes.Failed('body too large')
     if not complete:
-        return outcomes.Failed('broken off', True)
+        return _make_broken_off(response)
     if not head.signed:
         return outcomes.Failed('status %d without signature' % head.status)
     if head.status >= _SERVER_ERROR:
@@ -239,7 +239,7 @@
     complete = await response.read(caller.write)
     caller.unregister_producer()
     if not complete:
-        return outcomes.Failed('broken off', True)
+        return _make_broken_off(response)
     caller.finish()
     return outcomes.Answered()
 
@@ -252,6 +252,14 @@
     return True
 
 
+def _make_broken_off(
+    response: upstream.EndpointResponse, reason: str = 'broken off'
+) -> outcomes.Outcome:
+    if response.protocol_error:
+        return outcomes.Failed(response.protocol_error)
+    return outcomes.Failed(reason, True)
+
+
 def _classify_fault(fault: exceptions.EndpointError) -> outcomes.Outcome:
     if not fault.may_have_run:
         return outcomes.NotRun(
@@ -323,7 +331,7 @@
         if self._reject_reason:
             return outcomes.Failed(self._reject_reason)
         if not complete or self._events.incomplete:
-            return outcomes.Failed('stream broken off', True)
+            return _make_broken_off(response, 'stream broken off')
         if not self.event_count:
             return outcomes.Failed('stream without events')
         caller.finish()
--- a/src/cairnloom/entry/upstream.py
+++ b/src/cairnloom/entry/upstream.py
@@ -150,7 +150,8 @@
     ``on_used_connection`` is set if an earlier request went over the same
     connection, so that the response may be a late copy of an earlier one.
     ``declared_bytes`` is the size of the body as the head gives it, None if it
-    does not. ``budget`` counts what is held of the body.
+    does not. ``budget`` counts what is held of the body. ``protocol_error`` is
+    how the body broke the protocol, '' if it did not.
     """
 
     def __init__(
@@ -166,6 +167,7 @@
         self._response = response
         self._ended = False
         self.too_large = False
+        self.protocol_error = ''
         self.status: int = response.code
         self.headers: http_headers.Headers = response.headers
         self.declared_bytes: int | None = None
@@ -188,6 +190,7 @@
 
         def on_end(reason: failure.Failure) -> None:
             self._ended = True
+            self.protocol_error = http_client.find_protocol_error(reason.value)
             if not done.called and not cancelled:
                 done.callback(bool(reason.check(client.ResponseDone)))
 
@@ -297,10 +300,8 @@
                     'head too large', True
                 ) from fault
             protocol_error = http_client.find_protocol_error(fault)
-            if protocol_error is not None:
-                raise exceptions.EndpointError(
-                    str(protocol_error), True
-                ) from fault
+            if protocol_error:
+                raise exceptions.EndpointError(protocol_error, True) from fault
             raise exceptions.EndpointError(
                 _describe(fault), True, connection_lost=True
             ) from fault
--- a/src/cairnloom/gateway/dispatch.py
+++ b/src/cairnloom/gateway/dispatch.py
@@ -193,7 +193,9 @@
         self._reply.read_into(sink)
         try:
             await sink.done
-        except exceptions.EndpointError:
+        except exceptions.EndpointError as fault:
+            if self._reply.protocol_error:
+                fault.connection_lost = False
             self._reply.cancel()
             raise
 
--- a/src/cairnloom/protocol/client.py
+++ b/src/cairnloom/protocol/client.py
@@ -53,6 +53,11 @@
     error.TimeoutError,
 )
 
+_PROTOCOL_ERRORS = (
+    exceptions.ProtocolError,
+    http._MalformedChunkedDataError,
+)
+
 
 @dataclasses.dataclass(frozen=True)
 class Reply:
@@ -79,9 +84,13 @@
 
 
 class _BodyReceiver(protocol.Protocol):
-    """Passes the bytes of one body to a sink."""
+    """Passes the bytes of one body to a sink.
+
+    ``protocol_error`` is how the body broke the protocol, '' if it did not.
+    """
 
     def __init__(self, sink: BodySink) -> None:
+        self.protocol_error = ''
         self._sink = sink
 
     def dataReceived(self, data: bytes) -> None:
@@ -90,6 +99,7 @@
     def connectionLost(
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
+        self.protocol_error = find_protocol_error(reason.value)
         self._sink.finish(bool(reason.check(client.ResponseDone)))
 
 
@@ -171,6 +181,11 @@
         self.headers: http_headers.Headers = response.headers
         self._receiver: _BodyReceiver | None = None
 
+    @property
+    def protocol_error(self) -> str:
+        """How the body broke the protocol, '' if it did not."""
+        return self._receiver.protocol_error if self._receiver else ''
+
     def read_into(self, sink: BodySink) -> None:
         """Pass the body to a sink as it arrives."""
         self._receiver = _BodyReceiver(sink)
@@ -412,19 +427,16 @@
     return any(reason.check(defer.CancelledError) for reason in reasons)
 
 
-def find_protocol_error(
-    fault: BaseException,
-) -> exceptions.ProtocolError | None:
-    """Return how the answer broke the protocol, if a request failed by that.
+def find_protocol_error(fault: BaseException | None) -> str:
+    """Return how an answer broke the protocol, '' if it did not.
 
-    Such a failure is no lost connection: the server is there, and has
-    answered.
+    ``fault`` is why the request failed or the body ended. Such a failure is no
+    lost connection: the server is there, and has answered.
     """
     for reason in getattr(fault, 'reasons', ()):
-        if reason.check(exceptions.ProtocolError):
-            protocol_error: exceptions.ProtocolError = reason.value
-            return protocol_error
-    return None
+        if reason.check(*_PROTOCOL_ERRORS):
+            return reason.getErrorMessage()
+    return ''
 
 
 def _cancel_at_timeout(
@@ -501,9 +513,9 @@
             if is_cancelled(fault):
                 raise defer.CancelledError() from fault
             protocol_error = find_protocol_error(fault)
-            if protocol_error is not None:
+            if protocol_error:
                 raise exceptions.TransportError(
-                    str(protocol_error), True
+                    protocol_error, True
                 ) from fault
             may_have_been_sent = not isinstance(fault, _NOTHING_SENT_ERRORS)
             reason = type(fault).__name__
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -115,12 +115,19 @@
 
 
 @pytest.mark.parametrize('path', ['/safe/', '/once/'])
-def test_request_is_not_blamed_for_broken_heads(desks, path):
+@pytest.mark.parametrize(
+    'data',
+    [
+        heads.make_head('entry', b'HTTP/1.1 000 OK') + heads.BODY,
+        heads.make_chunked_answer('entry', b'X Odd: 1\r\n'),
+        heads.make_chunked_answer('entry').replace(b'\r\n0\r\n', b'?'),
+    ],
+    ids=['head', 'trailer', 'chunk'],
+)
+def test_request_is_not_blamed_for_broken_answers(desks, data, path):
     """Its endpoints have answered, so that it has crashed none of them."""
     body = desks.make_body()
-    broken = raw_server.RawAnswer(
-        heads.make_head('entry', b'HTTP/1.1 000 OK') + heads.BODY
-    )
+    broken = raw_server.RawAnswer(data)
     for _ in range(4):
         desks.play(broken, broken)
         assert desks.deployment.call(path, 'POST', body).status == 502
--- a/tests/test_broken_replies.py
+++ b/tests/test_broken_replies.py
@@ -227,6 +227,14 @@
     assert fault.may_have_been_sent
 
 
+@pytest.mark.parametrize('end', [b'0\r\nX Odd: 1\r\n\r\n', b'?\r\n'])
+def test_broken_chunks_are_no_lost_connection(serve, http, end):
+    head = heads.make_head('gateway', length=heads.CHUNKED)
+    chunk = b'%x\r\n%s\r\n' % (len(STREAM), STREAM)
+    server = serve(raw_server.RawAnswer(head + chunk + end))
+    check_fault(raw_answers.find_fault(run_attempt, http, server))
+
+
 def test_reply_with_a_sound_trailer_is_whole(serve, http):
     server = serve(
         raw_server.RawAnswer(
