Move the connection of all clients into a module of its own

What both it and the pool of connections to endpoints are built on stands in protocol/client_connection.py now: heads, ends, trailers, and how a failure is classified. Nothing else changes.

--- a/src/cairnloom/entry/upstream.py
+++ b/src/cairnloom/entry/upstream.py
@@ -21,6 +21,7 @@
 
 from .. import exceptions
 from ..protocol import client as http_client
+from ..protocol import client_connection
 from ..protocol import receive_budget
 from ..protocol import sockets
 from ..routing import instances
@@ -39,7 +40,7 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
 
-class _Connection(http_client.BoundedConnection):
+class _Connection(client_connection.BoundedConnection):
     """A connection to an endpoint, and whether it can be reused."""
 
     def __init__(
@@ -190,7 +191,9 @@
 
         def on_end(reason: failure.Failure) -> None:
             self._ended = True
-            self.protocol_error = http_client.find_protocol_error(reason.value)
+            self.protocol_error = client_connection.find_protocol_error(
+                reason.value
+            )
             if not done.called and not cancelled:
                 done.callback(bool(reason.check(client.ResponseDone)))
 
@@ -293,13 +296,13 @@
             raise exceptions.EndpointError('not sent', False) from fault
         except Exception as fault:
             connection.drop()
-            if http_client.is_cancelled(fault):
+            if client_connection.is_cancelled(fault):
                 raise defer.CancelledError() from fault
             if connection.head_too_large:
                 raise exceptions.EndpointError(
                     'head too large', True
                 ) from fault
-            protocol_error = http_client.find_protocol_error(fault)
+            protocol_error = client_connection.find_protocol_error(fault)
             if protocol_error:
                 raise exceptions.EndpointError(protocol_error, True) from fault
             raise exceptions.EndpointError(
