--- a/src/cairnloom/standins/raw_server.py
+++ b/src/cairnloom/standins/raw_server.py
@@ -12,6 +12,7 @@
 from typing import Literal
 
 from twisted.internet import protocol
+from twisted.python import failure
 
 # Stands for the id of the request in the bytes of an answer.
 ID_PLACEHOLDER = b'{id}'
@@ -60,8 +61,10 @@
 
     Once they are used up, the last one is repeated. ``id_header`` names the
     header that holds the id of a request. ``requests`` holds the heads of
-    these requests, and ``connections`` counts the connections. Requests for a
-    path that begins as a key of ``control_answers`` get its answer instead.
+    these requests. ``connections`` counts all connections, and
+    ``open_connections`` those that have not ended. ``late_bytes`` is what was
+    received after an answer that ended its connection. Requests for a path
+    that begins as a key of ``control_answers`` get its answer instead.
     """
 
     noisy = False
@@ -74,6 +77,8 @@
         self.control_answers: dict[bytes, RawAnswer] = {}
         self.requests: list[bytes] = []
         self.connections = 0
+        self.open_connections = 0
+        self.late_bytes = 0
         self._id = re.compile(
             b'\r\n%s: *([^\r]*)\r\n' % re.escape(id_header.encode()),
             re.IGNORECASE,
@@ -114,9 +119,20 @@
         self._length = 0
         self._ended = False
 
+    def connectionMade(self) -> None:
+        """Count the connection."""
+        self._server.open_connections += 1
+
+    def connectionLost(
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Count the end of the connection."""
+        self._server.open_connections -= 1
+
     def dataReceived(self, data: bytes) -> None:
         """Answer a request once enough of it has arrived."""
         if self._ended:
+            self._server.late_bytes += len(data)
             return
         self._received += data
         if self._answer is None:
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -153,6 +153,21 @@
     assert raw_answers.find_fault(reader, http, server, upload)
 
 
+@pytest.mark.parametrize('reader', READERS)
+@pytest.mark.parametrize('moment', EARLY)
+def test_rest_of_the_upload_is_not_sent_after_a_broken_head(
+    serve, http, reader, moment
+):
+    head = heads.make_head('gateway', b'HTTP/1.1 000 OK')
+    server = serve(
+        raw_server.RawAnswer(head + heads.BODY, 'linger', EARLY[moment])
+    )
+    fault = raw_answers.find_fault(reader, http, server, UPLOAD)
+    assert 'status line' in str(fault)
+    atlas_deployment.wait_for(lambda: not server.raw.open_connections)
+    assert EARLY[moment] + server.raw.late_bytes < UPLOAD_BYTES / 2
+
+
 @pytest.mark.parametrize('reader', READERS)
 @pytest.mark.parametrize('moment', EARLY)
 @pytest.mark.parametrize('upload', [SMALL_UPLOAD, UPLOAD], ids=len)
