Test that a broken head promises and announces nothing

A head with 408, 421, 429 or 503, with "Not-Executed" and a control byte in a value, was a promise that the request had not run: a request that may run once was sent to a second endpoint. "Server-Leaving" and "Server-Limit" in such a head were believed. Two docstrings are put more plainly.

--- a/src/cairnloom/protocol/response_heads.py
+++ b/src/cairnloom/protocol/response_heads.py
@@ -1,10 +1,9 @@
 """Grammar of the heads of answers.
 
-First stage of reading an answer: the client of other processes and the pool of
-connections to endpoints check each head here before any of it is used. Their
-parser accepts more than the protocol allows, such as a status of 000 or a
-blank in the name of a field, and such a line may be read differently by
-whoever gets the answer next.
+First stage of reading an answer: :mod:`.client_connection` checks each head
+here before its parser gets it. The parser accepts more than the protocol
+allows, such as a status of 000 or a folded line, and whoever gets such an
+answer next may read it differently.
 """
 
 import re
@@ -12,7 +11,7 @@
 from .. import exceptions
 
 MAX_LINE_BYTES = 16 * 1024
-# A body of this many digits of length never ends.
+# No body is as long as a number of more digits says.
 MAX_LENGTH_DIGITS = 18
 
 _STATUS_LINE = re.compile(
--- a/src/cairnloom/protocol/sockets.py
+++ b/src/cairnloom/protocol/sockets.py
@@ -1,9 +1,9 @@
-"""What the system knows of TCP connections.
+"""Options and state of TCP sockets.
 
-Socket options detect dead connections: a peer that lost its power or is behind
-a network partition sends nothing, and without these options its connections
-look like idle ones. The state of a socket shows whether the peer has taken all
-that was sent to it.
+The options detect dead connections: a peer that lost its power or is behind a
+network partition sends nothing, and without them its connections look like
+idle ones. The state shows whether the peer has acknowledged all that was sent
+to it.
 """
 
 import enum
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -114,6 +114,34 @@
     assert len(desks.list_requests()) == 1
 
 
+@pytest.mark.parametrize('status', [408, 421, 429, 503])
+def test_broken_head_refuses_nothing(desks, status):
+    """The request may have run, whatever the head says."""
+    head = heads.make_head(
+        'entry',
+        b'HTTP/1.1 %d Refused' % status,
+        b'Not-Executed: 1\r\nX-Odd: \x00',
+    )
+    desks.play(raw_server.RawAnswer(head + heads.BODY))
+    answer = desks.deployment.call('/once/', 'POST', desks.make_body())
+    assert answer.status == 502
+    assert len(desks.list_requests()) == 1
+    desks.wait_for_blame(1)
+
+
+def test_broken_head_announces_nothing(desks):
+    head = heads.make_head(
+        'entry',
+        line=b'Server-Leaving: 1\r\nServer-Limit: 0.1\r\nX-Odd: \x00',
+    )
+    desks.play(raw_server.RawAnswer(head + heads.BODY))
+    answer = desks.deployment.call('/once/', 'POST', desks.make_body())
+    assert answer.status == 502
+    host = desks.deployment.programs[0]._host
+    assert not host.announcements.list_unusable('desk', host.now())
+    assert host.rate_limits.is_empty()
+
+
 @pytest.mark.parametrize('path', ['/safe/', '/once/'])
 @pytest.mark.parametrize(
     'data',
--- a/tests/test_broken_replies.py
+++ b/tests/test_broken_replies.py
@@ -212,6 +212,13 @@
     assert server.count_requests() == 1
 
 
+def test_broken_head_refuses_no_attempt(serve, http):
+    """With 503 an engine says that it has not run the request."""
+    head = heads.make_head('gateway', b'HTTP/1.1 503 Busy', b'X-Odd: \x00')
+    server = serve(raw_server.RawAnswer(head + heads.BODY))
+    check_fault(raw_answers.find_fault(run_attempt, http, server))
+
+
 @pytest.mark.parametrize('head', heads.list_sound_heads('gateway'))
 @pytest.mark.parametrize('reader', [read_whole_reply, open_endpoint])
 def test_sound_head_is_read(serve, http, reader, head):
