--- a/tests/raw_answers.py
+++ b/tests/raw_answers.py
@@ -8,9 +8,12 @@
 import dataclasses
 
 import atlas_deployment
+from twisted.web import http_headers
 
+from cairnloom.entry import upstream
 from cairnloom import exceptions
 from cairnloom.protocol import client
+from cairnloom.routing import instances
 from cairnloom.standins import atlas
 from cairnloom.standins import raw_server
 
@@ -22,6 +25,14 @@
 NO_SUCH_PATH = raw_server.RawAnswer(
     b'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n'
 )
+# Limits of callers whose uploads exceed the buffers of a loopback connection.
+UPLOAD_BYTES = 6 * 1024 * 1024
+CALLER_LIMITS = {
+    'MaxHeaderBytes': 4096,
+    'MaxBodyBytes': UPLOAD_BYTES + 100,
+    'HeaderTimeoutMs': 10000,
+    'IdleTimeoutMs': 10000,
+}
 # Enough retries for all requests of a test module.
 MANY_RETRIES = 10000.0
 
@@ -128,6 +139,29 @@
     atlas_deployment.await_in_reactor(http_client.close)
 
 
+async def read_from_endpoint(server, body):
+    """Send a request as to an endpoint.
+
+    Returns the body of the answer, and whether it is complete.
+    """
+    pool = upstream.Upstream(
+        atlas_deployment.reactor, lambda connection_headers: None
+    )
+    call = upstream.EndpointCall(
+        instances.Instance('e1', 'desk', '127.0.0.1', server.port, 'a'),
+        b'POST',
+        b'/x',
+        http_headers.Headers({'Host': ['x'], ID_HEADER: ['request-1']}),
+        body,
+        False,
+    )
+    try:
+        response = await pool.open(call)
+        return await response.read_whole()
+    finally:
+        pool.close()
+
+
 def find_fault(read, *arguments):
     """Have a coroutine function read an answer.
 
