Keep connections of the raw server that hangs

A connection of the stand-in that is not read from any more was referenced by nothing, so the garbage collector closed it after some 0.3 s: an endpoint that should hang ended its connection instead. The server now keeps its connections until they end. Seen as 'ResponseNeverReceived: ConnectionDone' for all requests to a service that hangs, on two endpoints at once; with the reference there is none.

--- a/src/cairnloom/standins/raw_server.py
+++ b/src/cairnloom/standins/raw_server.py
@@ -79,6 +79,8 @@
         self.connections = 0
         self.open_connections = 0
         self.late_bytes = 0
+        # A connection that is not read from is referenced by nothing else.
+        self.protocols: set[protocol.Protocol] = set()
         self._id = re.compile(
             b'\r\n%s: *([^\r]*)\r\n' % re.escape(id_header.encode()),
             re.IGNORECASE,
@@ -122,12 +124,14 @@
     def connectionMade(self) -> None:
         """Count the connection."""
         self._server.open_connections += 1
+        self._server.protocols.add(self)
 
     def connectionLost(
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
         """Count the end of the connection."""
         self._server.open_connections -= 1
+        self._server.protocols.discard(self)
 
     def dataReceived(self, data: bytes) -> None:
         """Answer a request once enough of it has arrived."""
