Do not blame an endpoint for callers that leave

Callers saw 503 'no endpoint of this service can be reached' at the gateway daemon while its endpoints were sound: others had left in the middle of long answers.

Cause: when a caller leaves, its attempt is cancelled, and the answer ends early. The gateway counted that as a failure of the endpoint, and a few of them eject it.

Evidence: test_callers_that_leave_do_not_blame_the_endpoint, 20 callers that leave after the first bytes of 3 MB: fails on the untouched ('orders-1' is ejected), passes now.

An early end is a failure of the endpoint only if the request is not over: neither ended by the gateway nor left by its caller.

--- a/src/cairnloom/gateway/calls.py
+++ b/src/cairnloom/gateway/calls.py
@@ -204,9 +204,10 @@
         self._request.http_request.clear_producer()
         if not complete:
             reply.cancel()
-            self._state.endpoint_view.note_failure(
-                endpoint_choice.endpoint, self._state.now()
-            )
+            if not self._request.is_over():
+                self._state.endpoint_view.note_failure(
+                    endpoint_choice.endpoint, self._state.now()
+                )
             raise exceptions.EndpointError(
                 'the answer ended early', may_have_run=True
             )
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -181,6 +181,26 @@
         assert json.loads(body)['method'] == method
 
 
+def test_callers_that_leave_do_not_blame_the_endpoint(system):
+    """An endpoint is not at fault for answers that nobody reads."""
+    route = {'prefix': '/left', 'service': 'orders', 'open': True}
+    system.change('host-1', {'kind': 'put_route', 'route': route})
+    port = system.gateways['host-1'].ports['callers']
+    head = b'POST /left HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n\r\n'
+    for _ in range(20):
+        with socket.create_connection(('127.0.0.1', port)) as connection:
+            connection.sendall(head % 3_000_000 + bytes(3_000_000))
+            assert connection.recv(12) == b'HTTP/1.1 200'
+    time.sleep(0.2)
+    state = system.read_state('host-1')
+    assert not [
+        endpoint['endpoint']
+        for endpoint in state['endpoints']
+        if endpoint['ejected']
+    ]
+    assert processes.call(system.callers_url('host-1') + '/left')[0] == 200
+
+
 def test_operator_program_exit_statuses(system):
     assert system.ctl('host-1', 'nonsense')[0] == 2
     assert system.ctl('host-1', 'key', 'issue', 'nobody')[0] == 1
