Bound what is held of answers that nobody reads

Callers that send requests and do not read their answers made a process hold them for good, at both front doors: answers of up to 256 KiB in the process, and megabytes a connection in the buffers of the system. A connection that was to be closed after its answer was never closed.

Cause: the sum of unread answers had no bound. Backpressure limits what one answer takes in the process, not what the system takes of it: it enlarges the buffers of both connections. Twisted waits without limit for the last bytes of a connection that is closed.

Unread answers now count in the sum of callers' bytes, in the process and in the system (the query for unacknowledged bytes), and callers that do not read are ended first once it is exceeded. The buffers of callers' connections, and those that receive answers, are limited to 64 KiB as set. A connection that is closed ends if its caller reads nothing for the idle time.

--- a/src/cairnloom/entry/upstream.py
+++ b/src/cairnloom/entry/upstream.py
@@ -131,7 +131,8 @@
     be sent again after it may have run. ``request`` is its id, for the log.
     ``is_control`` is set if it is no work for the endpoint. ``find_objection``
     is called right before the request is sent, and returns why it must not be,
-    or ''.
+    or ''. ``try_hold_copies`` counts what the request takes beyond its own
+    bytes while it is sent, and returns whether there is room for that.
     """
 
     instance: instances.Instance
@@ -143,6 +144,7 @@
     request: str = ''
     is_control: bool = False
     find_objection: Callable[[], str] = lambda: ''
+    try_hold_copies: Callable[[int], bool] = lambda byte_count: True
 
 
 class EndpointResponse:
--- a/src/cairnloom/protocol/caller_channel.py
+++ b/src/cairnloom/protocol/caller_channel.py
@@ -70,6 +70,7 @@
         self.factory.channels.add(self)
         self.account = self.factory.accounts.open(self)
         sockets.limit_receive_buffer(self.transport)
+        sockets.limit_send_buffer(self.transport)
         super().connectionMade()
 
     def dataReceived(self, data: bytes) -> None:
@@ -185,6 +186,7 @@
             return
         super().loseConnection()
         self.account.begin_closing()
+        self._close_later(sockets.count_unread_bytes(self.transport))
 
     def reject(self, status: int) -> None:
         """Answer a request that is not served, and close the connection."""
@@ -284,6 +286,8 @@
 
     def _note_written(self, byte_count: int) -> None:
         self._unchecked_bytes += byte_count
+        if self._unchecked_bytes > _UNCHECKED_BYTES:
+            self.check_answer()
 
     def _read_ahead(self, data: bytes) -> None:
         """Buffer what follows the request in progress.
--- a/src/cairnloom/protocol/client_connection.py
+++ b/src/cairnloom/protocol/client_connection.py
@@ -112,6 +112,7 @@
     def connectionMade(self) -> None:
         super().connectionMade()
         sockets.enable_keepalive(self.transport)
+        sockets.limit_receive_buffer(self.transport)
 
     def request(self, request: Any) -> defer.Deferred[Any]:
         """Send a request; the deferred fires with the response."""
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -123,6 +123,30 @@
             clients.open([head, misbehaving.BODY])
 
 
+@pytest.mark.parametrize("kind", ["long", "collected"])
+def test_answers_that_are_not_read(open_door, kind):
+    door = open_door()
+    path, body = "/sound/", bytes(b"y" * ECHOED_BYTES)
+    if kind == "long":
+        door.add_service("long", misbehaving.make_long_answer(door.kind))
+        path, body = "/long/", b"x"
+    with misbehaving.watch_door(door) as clients:
+        for _ in range(4 * misbehaving.CLIENTS):
+            head = door.make_head(path, len(body))
+            clients.open([head, body], reads=False)
+
+
+def test_answers_that_are_not_read_and_end_their_connection(open_door):
+    door = open_door()
+    body = bytes(b"y" * ECHOED_BYTES)
+    with misbehaving.watch_door(door) as clients:
+        for _ in range(4 * misbehaving.CLIENTS):
+            head = door.make_head(
+                "/sound/", len(body), fields=["Connection: close"]
+            )
+            clients.open([head, body], reads=False)
+
+
 def test_upload_that_moves_is_served(open_door):
     """An upload goes on while others stop, or come at once."""
     door = open_door()
