Leave descriptors for callers, endpoints, hosts and the store

Clients that open connections and leave them idle, or send a head slowly, took all descriptors of a process: callers were closed without an answer, and the process could not connect to endpoints any more.

Cause: connections of callers had no bound but the system's, which they share with all else.

--- a/src/cairnloom/protocol/callers.py
+++ b/src/cairnloom/protocol/callers.py
@@ -275,6 +275,8 @@
         self._closing = False
 
     def buildProtocol(self, addr: Any) -> Any:
+        if not self.accounts.make_room():
+            return None
         channel = caller_channel.CallerChannel()
         channel.requestFactory = _Request  # type: ignore[assignment]
         channel.factory = self
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -147,6 +147,55 @@
             clients.open([head, body], reads=False)
 
 
+@pytest.mark.parametrize("kind", ["idle", "slow"])
+def test_connections_leave_descriptors(open_door, kind):
+    door = open_door(misbehaving.DESCRIPTORS)
+    most = misbehaving.DESCRIPTORS - misbehaving.FREE_DESCRIPTORS
+    with misbehaving.watch_door(door, most) as clients:
+        for _ in range(IDLE_CLIENTS):
+            head = door.make_head("/sound/", 1)[:-2]
+            clients.open([] if kind == "idle" else [head])
+
+
+def test_used_connections_leave_descriptors(open_door):
+    """Idle connections that have been used are ended too."""
+    door = open_door(misbehaving.DESCRIPTORS)
+    most = misbehaving.DESCRIPTORS - misbehaving.FREE_DESCRIPTORS
+    with misbehaving.watch_door(door, most) as clients:
+        for _ in range(IDLE_CLIENTS):
+            clients.open([door.make_head("/sound/", 1) + b"x"])
+
+
+def test_requests_in_progress_leave_descriptors(open_door):
+    door = open_door(misbehaving.DESCRIPTORS)
+    door.add_service("slow", misbehaving.HANGING)
+    most = misbehaving.DESCRIPTORS - misbehaving.FREE_DESCRIPTORS
+    with misbehaving.Watch(door) as watch:
+        with misbehaving.Clients(door.address) as clients:
+            for _ in range(IDLE_CLIENTS):
+                clients.open([door.make_head("/slow/", 1) + b"x"])
+            clients.settle()
+            assert door.is_ready()
+            assert door.is_alive()
+        misbehaving.serve_callers(door)
+    assert watch.most_descriptors <= most
+
+
+@pytest.mark.parametrize("kind", ["idle", "upload"])
+def test_connections_that_are_reset(open_door, kind):
+    door = open_door(misbehaving.DESCRIPTORS)
+    most = misbehaving.DESCRIPTORS - misbehaving.FREE_DESCRIPTORS
+    with misbehaving.watch_door(door, most) as clients:
+        for number in range(RESETS):
+            parts = []
+            if kind == "upload":
+                head = door.make_head("/sound/", misbehaving.BODY_BYTES)
+                parts = [head, SHORT_BODY[: 16 * misbehaving.KILOBYTE]]
+            clients.open(parts)
+            if number % 50 == 49:
+                clients.leave()
+
+
 def test_upload_that_moves_is_served(open_door):
     """An upload goes on while others stop, or come at once."""
     door = open_door()
