Do not keep parsed bodies of the model API

Callers of the gateway daemon's model API could make it hold many times what they sent: 128 bodies of 1 MiB, each an array of empty arrays, took 1,778 MB, and 517 MB as text.

Cause: the parsed body was kept while a request waited and ran, and each value of it takes some 90 bytes, however short it is in the text.

The gateway now keeps the body for the engine, which it builds once at the beginning, and the few options that it reads; the parsed body lives as long as that takes.

--- a/src/cairnloom/gateway/answers.py
+++ b/src/cairnloom/gateway/answers.py
@@ -14,6 +14,7 @@
 
 from .. import exceptions
 from ..protocol import codec
+from ..routing import choice as endpoint_choice
 from ..routing import crashing_parts
 
 CHARACTERS_PER_TOKEN = 4
@@ -29,6 +30,19 @@
     include_usage: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """What the gateway needs to know of a request body.
+
+    ``output_limit`` is the caller's limit on output tokens, if it gave one.
+    """
+
+    model: str
+    stream: bool
+    include_usage: bool
+    output_limit: int | None
+
+
 class ModelBody(pydantic.BaseModel):
     """The fields of a request body that the gateway reads.
 
@@ -58,23 +72,33 @@
             return orjson.dumps(self.messages).decode()
         return orjson.dumps(self.prompt).decode()
 
-    def output_limit(self) -> int | None:
-        """Return the caller's limit on output tokens, if it gave one."""
-        return self.max_completion_tokens or self.max_tokens
+    def read_options(self) -> Options:
+        """Return what the gateway needs to know beyond the prompt."""
+        options = self.stream_options
+        return Options(
+            self.model,
+            self.stream,
+            options is not None and options.include_usage,
+            self.max_completion_tokens or self.max_tokens,
+        )
 
 
 @dataclasses.dataclass(frozen=True)
 class Prompt:
-    """A validated request body with the values derived from it.
-
-    ``chat`` is false for a plain text completion; ``tokens`` is the estimated
-    number of tokens in the prompt. ``parts`` are keys of all messages but the
-    last, which other prompts may share.
+    """What is kept of a validated request body.
+
+    The parsed body itself is not kept, as its values take many times their
+    length. ``engine_body`` is the body of the engine's request, and ``chat``
+    is false for a plain text completion. ``prefix`` is the beginning of the
+    prompt's text; ``tokens`` is the estimated number of tokens in the prompt.
+    ``parts`` are keys of all messages but the last, which other prompts may
+    share.
     """
 
-    body: ModelBody
+    options: Options
+    engine_body: bytes
     chat: bool
-    text: str
+    prefix: str
     tokens: int
     parts: tuple[str, ...] = ()
 
@@ -96,7 +120,14 @@
         raise exceptions.ProtocolError('prompt: is required')
     text = body.prompt_text()
     tokens = max(1, len(text) // CHARACTERS_PER_TOKEN)
-    return Prompt(body, chat, text, tokens, _hash_shared_messages(body))
+    return Prompt(
+        body.read_options(),
+        _build_engine_body(body),
+        chat,
+        text[: endpoint_choice.PREFIX_CHARACTERS],
+        tokens,
+        _hash_shared_messages(body),
+    )
 
 
 def _hash_shared_messages(body: ModelBody) -> tuple[str, ...]:
@@ -107,12 +138,12 @@
     return crashing_parts.make_keys(body.model, hashes)
 
 
-def build_engine_body(prompt: Prompt) -> bytes:
+def _build_engine_body(body: ModelBody) -> bytes:
     """Build the engine's request body, which always asks for a stream.
 
     The stream always ends with usage figures, whatever the caller asked for.
     """
-    fields = prompt.body.model_dump(exclude_none=True)
+    fields = body.model_dump(exclude_none=True)
     fields['stream'] = True
     fields['stream_options'] = {'include_usage': True}
     return orjson.dumps(fields)
@@ -159,11 +190,11 @@
         text = self._read_text(choice)
         if text:
             self.tokens += 1
-            if not self.prompt.body.stream:
+            if not self.prompt.options.stream:
                 self.text_chunks.append(text)
         if choice.get('finish_reason'):
             self.finish_reason = choice['finish_reason']
-        if not self.prompt.body.stream:
+        if not self.prompt.options.stream:
             return None
         return self._build_event([choice])
 
@@ -173,9 +204,8 @@
         These are the usage figures, if the caller asked for them, and the end
         marker of the stream.
         """
-        options = self.prompt.body.stream_options
         usage_event = b''
-        if options is not None and options.include_usage:
+        if self.prompt.options.include_usage:
             usage_event = self._build_event([], self.usage())
         return usage_event + STREAM_END
 
@@ -209,7 +239,7 @@
             'id': self.request_id,
             'object': object_type,
             'created': self.created,
-            'model': self.prompt.body.model,
+            'model': self.prompt.options.model,
         }
 
     def _build_event(
--- a/src/cairnloom/gateway/completions.py
+++ b/src/cairnloom/gateway/completions.py
@@ -168,7 +168,7 @@
             request_id=self._request.http_request.request_id,
             number=attempt_number,
             url=endpoint_choice.address + self._request.http_request.path,
-            body=answers.build_engine_body(self._prompt),
+            body=self._prompt.engine_body,
             resume_at=self._answer.tokens,
             fresh_connection=self._claim is not None,
             head_timeout=dispatch.head_timeout(
@@ -338,7 +338,7 @@
     async def _complete(self) -> None:
         self._completed = True
         http_request = self._request.http_request
-        if self._prompt.body.stream:
+        if self._prompt.options.stream:
             self._send(self._answer.build_stream_end())
             await self._store_answer(STREAM_TYPE, b''.join(self._sent_chunks))
             http_request.finish()
@@ -408,7 +408,7 @@
         predicted_tokens = self._state.output_predictor.predict(
             self._class_target.name, self._request.team
         )
-        token_limit = self._prompt.body.output_limit()
+        token_limit = self._prompt.options.output_limit
         return (
             predicted_tokens
             if token_limit is None
@@ -419,7 +419,7 @@
         requirements = choice.EndpointRequirements(
             group=self._class_target.model,
             prompt_tokens=self._prompt.tokens,
-            prefix=self._prompt.text,
+            prefix=self._prompt.prefix,
             avoid=frozenset(self._avoided_endpoints),
             avoid_domains=frozenset(self._avoided_domains),
             software=self._software,
--- a/src/cairnloom/gateway/requests.py
+++ b/src/cairnloom/gateway/requests.py
@@ -114,7 +114,10 @@
         class_name = http_request.header(CLASS_HEADER)
         if class_name:
             class_target = classes.get(class_name)
-            if class_target is None or class_target.model != prompt.body.model:
+            if (
+                class_target is None
+                or class_target.model != prompt.options.model
+            ):
                 return callers.Refusal(
                     404, 'no class %s for this model' % class_name[:64]
                 )
@@ -122,7 +125,7 @@
         matching_classes = [
             class_target
             for class_target in classes.values()
-            if class_target.model == prompt.body.model
+            if class_target.model == prompt.options.model
         ]
         if not matching_classes:
             return callers.Refusal(
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -123,6 +123,25 @@
             clients.open([head, misbehaving.BODY])
 
 
+@pytest.mark.parametrize("kind", ["text", "values"])
+def test_whole_bodies_of_the_model_api(gateway_door, kind):
+    """A short value takes many times its length once it is parsed."""
+    door = gateway_door
+    start = (
+        b'{"model":"m","max_tokens":100,'
+        b'"messages":[{"role":"user","content":"x"}],"more":'
+    )
+    room = misbehaving.BODY_BYTES - len(start) - 10
+    more = b'"%s"' % (b"y" * room)
+    if kind == "values":
+        more = b"[%s[]]" % (b"[]," * (room // 3))
+    body = start + more + b"}"
+    with misbehaving.watch_door(door) as clients:
+        for _ in range(misbehaving.CLIENTS):
+            head = door.make_head("/v1/chat/completions", len(body))
+            clients.open([head, body])
+
+
 @pytest.mark.parametrize("kind", ["long", "collected"])
 def test_answers_that_are_not_read(open_door, kind):
     door = open_door()
