Count bodies that other hosts pass on

A host that others use because they are cut off from endpoints held the bodies of their requests without a bound, four times each: the message, its text, the decoded body and the bytes to send. Longer messages went to a temporary file first, which is memory on hosts without disks.

They now count in the sum of callers' bytes, from their first byte, and without limit of size in memory only. The encoded message is freed once it is decoded.

--- a/src/cairnloom/entry/attempts.py
+++ b/src/cairnloom/entry/attempts.py
@@ -155,6 +155,7 @@
         caller.body,
         repeatable,
         request.metadata.request_id,
+        try_hold_copies=caller.try_hold_copies,
     )
     response = await host.paths.open(call)
     head = host.header_codec.read_head(response.status, response.headers)
--- a/src/cairnloom/entry/passing.py
+++ b/src/cairnloom/entry/passing.py
@@ -6,11 +6,13 @@
 """
 
 import base64
+import dataclasses
 from typing import Callable
 
 from twisted.web import http_headers
 
 from .. import exceptions
+from ..protocol import caller_accounts
 from ..protocol import codec
 from ..protocol import server
 from ..routing import instances
@@ -73,6 +75,9 @@
         It goes over this host's own path only.
         """
         message = codec.decode(messages.PassedCall, call.body)
+        body = base64.b64decode(message.body)
+        # The encoded body would be held as long as the call goes on.
+        call.body, message = b'', dataclasses.replace(message, body='')
         instance = self._find_listed(message.endpoint)
         if instance is None or self._is_leaving() or self._paths.is_cut_off():
             return _refuse('not taken', cut_off=self._paths.is_cut_off())
@@ -86,7 +91,7 @@
             message.method.encode(),
             message.target.encode('latin-1'),
             headers,
-            base64.b64decode(message.body),
+            body,
             message.repeatable,
             message.request,
             find_objection=lambda: self._paths.find_objection(instance),
@@ -161,6 +166,18 @@
         self._passer.passed_on -= 1
 
 
+def count_bodies(
+    accounts: caller_accounts.CallerAccounts,
+) -> server.CountedBodies:
+    """Have requests that other hosts pass on count as those of callers.
+
+    If there is no room for one, its host tries another host.
+    """
+    return server.CountedBodies(
+        accounts, messages.PASS_ON.encode(), _refuse('no memory')
+    )
+
+
 def _refuse(
     reason: str,
     fault: exceptions.EndpointError | None = None,
--- a/src/cairnloom/entry/paths.py
+++ b/src/cairnloom/entry/paths.py
@@ -40,6 +40,10 @@
 # If so many hosts, which are not cut off, do not reach an endpoint either, the
 # endpoint is at fault. They are asked at the same time.
 HOSTS_PER_QUESTION = 3
+# How often the body of a request that is sent through another host is held
+# in addition to itself: the encoded message, which is longer, and what is
+# held of it to send it.
+PASSED_COPIES = 4
 # A request is sent through another host if the first ones can't take it.
 MAX_HOSTS_PER_REQUEST = 4
 # Only so many other hosts are used, so that connections stay few.
@@ -425,6 +429,8 @@
         is not set if that host found the endpoint at fault.
         """
         own_host = self._members.own_row.host
+        if not call.try_hold_copies(PASSED_COPIES * len(call.body)):
+            raise exceptions.EndpointError('no memory', False, withheld=True)
         try:
             response = await self._upstream.open(
                 _build_passed_call(own_host, host, call),
--- a/src/cairnloom/entry/program.py
+++ b/src/cairnloom/entry/program.py
@@ -348,6 +348,7 @@
                 self._stream_origins,
             )
             | self._passer.handlers(),
+            passing.count_bodies(self._accounts),
         )
         self._ports['admin'] = server.listen(
             self._reactor,
--- a/src/cairnloom/protocol/server.py
+++ b/src/cairnloom/protocol/server.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import io
 from typing import Any
 from typing import Awaitable
 from typing import Callable
@@ -18,14 +19,24 @@
 
 from .. import exceptions
 
+from . import caller_accounts
 from . import codec
+from . import receive_budget
 
 IDLE_TIMEOUT_SECONDS = 60
+# How long a connection is read from after a call on it has been refused.
+LINGER_SECONDS = 2.0
+# How often a counted body is held at the most, in addition to itself, while
+# it is decoded and sent.
+PASSED_COPIES = 2
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass
 class JsonRequest:
-    """One request to a JSON listener."""
+    """One request to a JSON listener.
+
+    A handler may clear ``body``, to free it while the handler goes on.
+    """
 
     method: str
     path: str
@@ -73,12 +84,114 @@
 Handler = Callable[[JsonRequest], Awaitable[JsonResponse | StreamedResponse]]
 
 
+@dataclasses.dataclass(frozen=True)
+class CountedBodies:
+    """Bodies that hold requests of callers, and count as theirs.
+
+    They are those of calls to ``path``. ``refusal`` answers a call that is
+    refused because the process holds too much for callers.
+    """
+
+    accounts: caller_accounts.CallerAccounts
+    path: bytes
+    refusal: JsonResponse
+
+
 class _Request(http.Request):
     """A request that is passed to the listener's handlers once complete."""
 
+    channel: Any
+    _account: caller_accounts.Account | None = None
+
+    def __init__(self, channel: Any, queued: Any = False) -> None:
+        super().__init__(channel, parsePOSTFormSubmission=False)
+        self._blocks = receive_budget.Blocks()
+        self.body = b''
+
+    def gotLength(self, length: int | None) -> None:
+        self.content = io.BytesIO()
+        counted: CountedBodies | None = self.channel.factory.counted_bodies
+        if counted and self.channel._path.startswith(counted.path):
+            self._account = counted.accounts.open(self, counted=False)
+            self._account.begin_request()
+
+    def handleContentChunk(self, data: bytes) -> None:
+        if self._account is None:
+            self._blocks.add(data)
+        elif not self._account.refused:
+            self._blocks.add(data)
+            self._account.note_moved(len(data))
+            self._account.hold_request(self._blocks.size)
+
     def process(self) -> None:
+        if self._account is not None:
+            if not self._account.begin_serving(
+                PASSED_COPIES * self._blocks.size, ''
+            ):
+                return
+            self.notifyFinish().addBoth(self._close_account)
+        self.body = self._blocks.join()
+        self._blocks.clear()
         self.channel.factory.resource.serve(self)
 
+    def connectionLost(self, reason: failure.Failure) -> None:
+        super().connectionLost(reason)
+        self._close_account(None)
+
+    def end_connection(self, reason: str) -> None:
+        """End the connection; see :class:`.caller_accounts.Owner`."""
+        self.refuse_request()
+
+    def refuse_request(self) -> None:
+        """Refuse the request, which has not been passed to a handler."""
+        self._blocks.clear()
+        refusal = self.channel.factory.counted_bodies.refusal
+        transport = self.channel.transport
+        transport.write(
+            b'HTTP/1.1 %d Refused\r\nConnection: close\r\n'
+            b'Content-Length: %d\r\n\r\n%s'
+            % (refusal.status, len(refusal.body), refusal.body)
+        )
+        self.channel.discard_input()
+
+    def drop_read_ahead(self) -> None:
+        """Do nothing, as nothing is read ahead."""
+
+    def check_answer(self) -> None:
+        """Do nothing, as answers are not counted here."""
+
+    def _close_account(self, _: Any) -> None:
+        if self._account is not None:
+            self._account.close()
+
+
+class _Channel(http.HTTPChannel):
+    """A connection of another process."""
+
+    transport: Any
+    callLater: Any
+    _discards = False
+    _linger_timer: Any = None
+
+    def dataReceived(self, data: bytes) -> None:
+        if not self._discards:
+            super().dataReceived(data)
+
+    def discard_input(self) -> None:
+        """Close the connection, but read what is on its way."""
+        self._discards = True
+        self.setTimeout(None)
+        self._networkProducer.unregisterProducer()
+        self.transport.loseWriteConnection()
+        self._linger_timer = self.transport.reactor.callLater(
+            LINGER_SECONDS, self.transport.abortConnection
+        )
+
+    def connectionLost(self, reason: Any = None) -> None:
+        if self._linger_timer is not None and self._linger_timer.active():
+            self._linger_timer.cancel()
+        super().connectionLost(reason)
+
 
 class JsonResource:
     """Passes requests to the handler with the longest matching path prefix."""
@@ -86,7 +199,7 @@
     def __init__(self, handlers: dict[str, Handler]) -> None:
         self._handlers = handlers
 
-    def serve(self, request: http.Request) -> None:
+    def serve(self, request: _Request) -> None:
         """Answer a request once its handler has finished."""
         json_request = _parse_request(request)
         handler = self._find_handler(json_request.path)
@@ -144,8 +257,8 @@
         )
 
 
-def _parse_request(request: http.Request) -> JsonRequest:
-    body = request.content.read() if request.content else b''
+def _parse_request(request: _Request) -> JsonRequest:
+    body, request.body = request.body, b''
     query = {
         name.decode(): values[0].decode(errors='replace')
         for name, values in (request.args or {}).items()
@@ -208,12 +321,17 @@
 class _Listener(http.HTTPFactory):
     """Factory of the connections of a JSON listener."""
 
-    def __init__(self, handlers: dict[str, Handler]) -> None:
+    def __init__(
+        self,
+        handlers: dict[str, Handler],
+        counted_bodies: CountedBodies | None,
+    ) -> None:
         super().__init__(timeout=IDLE_TIMEOUT_SECONDS)
         self.resource = JsonResource(handlers)
+        self.counted_bodies = counted_bodies
 
     def buildProtocol(self, addr: Any) -> Any:
-        channel: Any = http.HTTPChannel()
+        channel: Any = _Channel()
         channel.requestFactory = _Request
         channel.factory = self
         channel.timeOut = IDLE_TIMEOUT_SECONDS
@@ -230,7 +348,13 @@
 
 
 def listen(
-    reactor: Any, address: str, port: int, handlers: dict[str, Handler]
+    reactor: Any,
+    address: str,
+    port: int,
+    handlers: dict[str, Handler],
+    counted_bodies: CountedBodies | None = None,
 ) -> Any:
     """Open a JSON listener; with port 0 the system chooses a free port."""
-    return reactor.listenTCP(port, _Listener(handlers), interface=address)
+    return reactor.listenTCP(
+        port, _Listener(handlers, counted_bodies), interface=address
+    )
