Free the body of a request once it has been answered

While a host judged whether a lost connection was the fault of its endpoint, it kept the request with its body, although its caller had been answered and nothing counted that any more. The fingerprint of a request, made by copying the whole body, is now made once and in pieces, and the body is freed when the request ends.

Found by reading what refers to a body; the test of endpoints that reset all requests (test_whole_bodies[entry-failing]) covers it, but passed without this commit too: the judgement is short where nothing is cut off.

--- a/src/cairnloom/entry/forwarding.py
+++ b/src/cairnloom/entry/forwarding.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from typing import Any
 
 from twisted.internet import defer
 from twisted.python import failure
@@ -51,9 +52,15 @@
         )
         timer = host.reactor.callLater(time_left, task.cancel)
         task.addErrback(self._handle_failure)
-        task.addBoth(lambda _: timer.active() and timer.cancel())
+        task.addBoth(lambda _: self._release(timer))
         return task
 
+    def _release(self, timer: Any) -> None:
+        if timer.active():
+            timer.cancel()
+        # A lost connection may be judged for some time after the answer.
+        self._caller.release_body()
+
     def end(self) -> None:
         """End the request now, because this host stops."""
         self._ending = True
--- a/src/cairnloom/entry/requests.py
+++ b/src/cairnloom/entry/requests.py
@@ -81,6 +81,7 @@
         self.longest_pause = 0.0
         self._last_event_at = 0.0
         self._billed = False
+        self._fingerprint = ''
 
     @property
     def may_have_run(self) -> bool:
@@ -188,8 +189,11 @@
 
         It is the same whenever the caller repeats the request.
         """
-        content = self.caller.target + b'\0' + self.caller.body
-        return quarantine.fingerprint(self.team_name, content)
+        if not self._fingerprint:
+            self._fingerprint = quarantine.fingerprint(
+                self.team_name, self.caller.target + b'\0', self.caller.body
+            )
+        return self._fingerprint
 
     def list_shared_parts(self) -> tuple[str, ...]:
         """Return the keys of the prompt parts that others may share."""
--- a/src/cairnloom/routing/quarantine.py
+++ b/src/cairnloom/routing/quarantine.py
@@ -76,10 +76,12 @@
     age: float
 
 
-def fingerprint(team: str, body: bytes) -> str:
+def fingerprint(team: str, *content: bytes) -> str:
     """Return a hash that identifies a request by team and content."""
-    text = team.encode() + b'\0' + body
-    return hashlib.blake2b(text, digest_size=12).hexdigest()
+    digest = hashlib.blake2b(team.encode() + b'\0', digest_size=12)
+    for part in content:
+        digest.update(part)
+    return digest.hexdigest()
 
 
 class Quarantine:
