Put the limits of callers in a module of their own

A connection that is gone can't hold anything any more: bytes reported for it after its end would have counted for good. Nothing did that; test_connection_that_is_gone_holds_nothing covers it. The move changes nothing else.

--- a/src/cairnloom/protocol/caller_accounts.py
+++ b/src/cairnloom/protocol/caller_accounts.py
@@ -14,6 +14,7 @@
 from ..runtime import metrics
 
 from . import caller_budget
+from . import caller_limits
 
 # How often it is checked whether answers that were not read are read now.
 CHECK_SECONDS = 0.5
@@ -141,7 +142,7 @@
     def __init__(
         self,
         reactor: Any,
-        limits: caller_budget.Limits,
+        limits: caller_limits.Limits,
         process_metrics: metrics.Metrics,
     ) -> None:
         self.budget = caller_budget.CallerBudget(limits)
@@ -222,7 +223,7 @@
 ) -> CallerAccounts:
     """Return the accounts of a process that may use so much.
 
-    See :func:`.caller_budget.find_limits`.
+    See :func:`.caller_limits.find_limits`.
     """
-    limits = caller_budget.find_limits(memory_bytes, descriptors)
+    limits = caller_limits.find_limits(memory_bytes, descriptors)
     return CallerAccounts(reactor, limits, process_metrics)
--- a/src/cairnloom/protocol/caller_budget.py
+++ b/src/cairnloom/protocol/caller_budget.py
@@ -14,22 +14,11 @@
 
 import dataclasses
 import enum
-import resource
 from typing import Any
 from typing import Iterable
 
-# The share of a process's memory that callers may take together.
-MEMORY_SHARE = 0.3
-# The memory of a process that sets none.
-DEFAULT_MEMORY_BYTES = 1024 * 1024 * 1024
-# The share of a process's descriptors that callers' connections may take. A
-# request that is served needs one more, to its endpoint; the rest is for all
-# else.
-DESCRIPTOR_SHARE = 3 / 8
-# What a connection takes by itself, with small buffers of the system, and the
-# share of the callers' memory that connections may take in this way.
-CONNECTION_BYTES = 12 * 1024
-CONNECTIONS_SHARE = 0.25
+from . import caller_limits
+
 # Connections that hold more than LARGE_BYTES may take this share of the sum
 # together. The rest is left for small requests.
 LARGE_BYTES = 64 * 1024
@@ -46,36 +35,6 @@
 STALL_SECONDS = 1.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Limits:
-    """The bytes that may be held for callers, and their connections."""
-
-    held_bytes: int
-    connections: int
-
-
-def find_limits(
-    memory_bytes: int | None, descriptors: int | None = None
-) -> Limits:
-    """Return the limits of a process.
-
-    ``memory_bytes`` and ``descriptors`` are what the process may use, None
-    where that is not set. The system's limit on descriptors counts too.
-
-    >>> find_limits(200 * 1024 * 1024, 800)
-    Limits(held_bytes=47185920, connections=300)
-    """
-    caller_bytes = (memory_bytes or DEFAULT_MEMORY_BYTES) * MEMORY_SHARE
-    connections = int(caller_bytes * CONNECTIONS_SHARE / CONNECTION_BYTES)
-    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    for count in (descriptors, soft_limit):
-        if count is not None and count != resource.RLIM_INFINITY:
-            connections = min(connections, int(count * DESCRIPTOR_SHARE))
-    return Limits(
-        int(caller_bytes * (1 - CONNECTIONS_SHARE)), max(1, connections)
-    )
-
-
 class Stage(enum.Enum):
     """What a connection is used for.
 
@@ -166,7 +125,8 @@
     Every method returns the actions that became necessary. They already count
     as carried out.
 
-    >>> budget = CallerBudget(Limits(held_bytes=100, connections=2))
+    >>> limits = caller_limits.Limits(held_bytes=100, connections=2)
+    >>> budget = CallerBudget(limits)
     >>> stopped = budget.open('stopped', 0.0)
     >>> budget.begin_request(stopped, 0.0)
     >>> budget.hold(stopped, Part.REQUEST, 70, 0.0)
@@ -178,7 +138,7 @@
     [('stopped', 'stalled')]
     """
 
-    def __init__(self, limits: Limits) -> None:
+    def __init__(self, limits: caller_limits.Limits) -> None:
         self.limits = limits
         self.held_bytes = 0
         self.large_bytes = 0
@@ -231,6 +191,8 @@
         self, connection: Connection, part: Part, byte_count: int, now: float
     ) -> list[Action]:
         """Set how many bytes of one kind are held for a connection."""
+        if connection not in self._connections:
+            return []
         if connection.stage is Stage.CLOSING and part is not Part.ANSWER:
             return []
         grows = byte_count > connection.get(part)
--- a/src/cairnloom/settings.py
+++ b/src/cairnloom/settings.py
@@ -11,7 +11,7 @@
 import expression
 import pydantic
 
-from .protocol import caller_budget
+from .protocol import caller_limits
 from .protocol import codec
 
 _STRICT = pydantic.ConfigDict(extra='forbid', frozen=True)
@@ -77,7 +77,7 @@
     ``queued_requests`` is the largest number of requests that wait.
     ``memory_bytes`` is the memory that the process may use, and
     ``descriptors`` the number of its files and sockets. What callers may take
-    of both follows from :func:`.protocol.caller_budget.find_limits`.
+    of both follows from :func:`.protocol.caller_limits.find_limits`.
     """
 
     model_config = _STRICT
@@ -90,7 +90,7 @@
     request_seconds: float = pydantic.Field(30.0, gt=0)
     answer_seconds: float = pydantic.Field(300.0, gt=0)
     memory_bytes: int = pydantic.Field(
-        caller_budget.DEFAULT_MEMORY_BYTES, ge=64 * 1024 * 1024
+        caller_limits.DEFAULT_MEMORY_BYTES, ge=64 * 1024 * 1024
     )
     descriptors: int | None = pydantic.Field(None, ge=64)
 
--- a/tests/test_caller_budget.py
+++ b/tests/test_caller_budget.py
@@ -10,9 +10,10 @@
 import state_machines
 
 from cairnloom.protocol import caller_budget
+from cairnloom.protocol import caller_limits
 
 KILOBYTE = 1024
-LIMITS = caller_budget.Limits(held_bytes=1600 * KILOBYTE, connections=6)
+LIMITS = caller_limits.Limits(held_bytes=1600 * KILOBYTE, connections=6)
 LARGE_LIMIT = LIMITS.held_bytes * caller_budget.LARGE_SHARE
 LARGEST = 500 * KILOBYTE
 SIZES = st.sampled_from(
@@ -355,6 +356,15 @@
     assert not budget.begin_serving(third, 200 * KILOBYTE, 'sound', 0.0)
 
 
+def test_connection_that_is_gone_holds_nothing():
+    budget = caller_budget.CallerBudget(LIMITS)
+    connection, _ = open_request(budget, KILOBYTE, 0.0)
+    budget.close(connection)
+    assert budget.hold(connection, PART.ANSWER, LARGEST, 0.0) == []
+    budget.end_request(connection, 0.0)
+    assert (budget.held_bytes, budget.connection_count) == (0, 0)
+
+
 def test_used_connections_are_kept_before_unused_ones():
     budget = caller_budget.CallerBudget(LIMITS)
     unused = budget.open('unused', 1.0)
@@ -373,6 +383,6 @@
     memory_bytes, descriptors
 ):
     """Several of the largest requests fit, and hundreds of ordinary ones."""
-    limits = caller_budget.find_limits(memory_bytes, descriptors)
+    limits = caller_limits.find_limits(memory_bytes, descriptors)
     assert limits.held_bytes * caller_budget.LARGE_SHARE >= 8 * (4 << 20)
     assert limits.connections >= 1000
