Free what was received of requests whose callers leave

Cause: a request and its connection refer to each other, so what was received of it stayed until the next garbage collection, although nothing counted it any more after the connection had ended. Connections of other hosts were the same.

Both are cleared when the connection is lost.

--- a/src/cairnloom/protocol/caller_channel.py
+++ b/src/cairnloom/protocol/caller_channel.py
@@ -280,6 +280,9 @@
         if self._close_timer is not None and self._close_timer.active():
             self._close_timer.cancel()
         super().connectionLost(reason)
+        # Requests and their connection refer to each other, so their memory
+        # would only be freed by the next garbage collection.
+        self._discard_request()
 
     def _respondToBadRequestAndDisconnect(self) -> None:
         self.reject(400)
--- a/src/cairnloom/protocol/server.py
+++ b/src/cairnloom/protocol/server.py
@@ -136,6 +136,7 @@
 
     def connectionLost(self, reason: failure.Failure) -> None:
         super().connectionLost(reason)
+        self._blocks.clear()
         self._close_account(None)
 
     def end_connection(self, reason: str) -> None:
